--- /dev/null
+++ b/jest.config.cjs
@@ -0,0 +1,17 @@
+module.exports = {
+  testEnvironment: "node",
+  roots: ["<rootDir>/packages", "<rootDir>/scripts"],
+  testMatch: ["**/*_test.ts"],
+  transform: {
+    "^.+\\.(ts|js|mjs)$": ["@swc/jest", {
+      jsc: {
+        parser: { syntax: "typescript" },
+        target: "es2022",
+      },
+      module: { type: "commonjs" },
+    }],
+  },
+  transformIgnorePatterns: [
+    "/node_modules/(?!(fast-check|pure-rand|@bufbuild|@connectrpc)/)",
+  ],
+};
--- /dev/null
+++ b/packages/coordination/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Coordination parts for clusters that keep what must last in one object API:
+ * deterministic state machines without sockets, clocks or random sources of
+ * their own.
+ */
+export * as clock from "./clock.ts";
+export * as random from "./random.ts";
--- /dev/null
+++ b/packages/coordination/src/random.ts
@@ -0,0 +1,15 @@
+/**
+ * Random numbers as the state machines see them: a function that is passed in,
+ * so that a seed reproduces every decision.
+ */
+import * as distribution from "pure-rand/distribution/uniformFloat64";
+import * as generator from "pure-rand/generator/xoroshiro128plus";
+
+/** Returns a number in [0, 1). */
+export type RandomSource = () => number;
+
+/** Creates a random source that yields the same sequence for the same seed. */
+export function createRandomSource(seed: number): RandomSource {
+  const state = generator.xoroshiro128plus(seed);
+  return () => distribution.uniformFloat64(state);
+}
