--- /dev/null
+++ b/packages/anvilhinge/src/entry/event_id.ts
@@ -0,0 +1,72 @@
+/**
+ * Ids of server-sent events. An id names a point within an attempt's answer,
+ * so that any entry of the half can resume it; callers treat it as opaque.
+ */
+
+/** A point within the answer of one attempt. */
+export interface EventPoint {
+  readonly requestId: string;
+  readonly attemptId: string;
+  readonly group: string;
+  readonly rank: number;
+  /** Sequence number of the frame that carried the event. */
+  readonly sequence: number;
+  /** Position of the event within that frame. */
+  readonly index: number;
+}
+
+const separator = "~";
+const fieldCount = 6;
+
+/** Encodes a point as the value of an `id:` line. */
+export function formatEventId(point: EventPoint): string {
+  return [
+    point.requestId,
+    point.attemptId,
+    point.group,
+    point.rank,
+    point.sequence,
+    point.index,
+  ].join(separator);
+}
+
+/** Decodes the value of a `Last-Event-ID` header; undefined when malformed. */
+export function parseEventId(text: string): EventPoint | undefined {
+  const fields = text.split(separator);
+  if (fields.length !== fieldCount) return undefined;
+  const [requestId, attemptId, group] = fields as [string, string, string];
+  const [rank, sequence, index] = fields.slice(3).map(Number) as [
+    number,
+    number,
+    number,
+  ];
+  const numbers = [rank, sequence, index];
+  const isWhole = numbers.every((value) =>
+    Number.isSafeInteger(value) && value >= 0
+  );
+  const isNamed = requestId !== "" && attemptId !== "" && group !== "";
+  if (!isWhole || !isNamed) return undefined;
+  return { requestId, attemptId, group, rank, sequence, index };
+}
+
+/**
+ * Adds an `id:` line to each event of a frame's data, and leaves out the first
+ * `skip` events.
+ */
+export function insertEventIds(
+  data: Uint8Array,
+  options: {
+    readonly point: Omit<EventPoint, "index">;
+    readonly skip?: number;
+  },
+): string {
+  const skip = options.skip ?? 0;
+  const events = Buffer.from(data).toString("utf8").split("\n\n");
+  let text = "";
+  for (const [index, event] of events.entries()) {
+    if (event === "" || index < skip) continue;
+    const id = formatEventId({ ...options.point, index });
+    text += `id: ${id}\n${event}\n\n`;
+  }
+  return text;
+}
