--- /dev/null
+++ b/packages/anvilhinge/src/settings/playground.ts
@@ -0,0 +1,58 @@
+/** Reads folders of settings objects, such as those of `playground/`. */
+import * as fs from "node:fs/promises";
+import * as nodePath from "node:path";
+import * as document from "./document.ts";
+import * as objects from "./objects.ts";
+import * as subtree from "./subtree.ts";
+
+const fileExtension = ".jsonc";
+const pathPartCount = 4;
+
+/** Returns the settings path that the place of a file stands for. */
+export function convertFileToPath(file: string): string {
+  const parts = nodePath.resolve(file).split(nodePath.sep);
+  const path = parts.slice(-pathPartCount).join("/");
+  return `/${path.slice(0, -fileExtension.length)}`;
+}
+
+/** Reads one file as the source of a settings object. */
+export async function readObjectSource(
+  file: string,
+): Promise<objects.ObjectSource> {
+  const text = await fs.readFile(file, "utf8");
+  return { path: convertFileToPath(file), text, file };
+}
+
+function groupBySubtree(
+  sources: readonly objects.ObjectSource[],
+): readonly (readonly objects.ObjectSource[])[] {
+  const grouped = new Map<string, objects.ObjectSource[]>();
+  for (const source of sources) {
+    const key = source.path.split("/").slice(0, 3).join("/");
+    grouped.set(key, [...(grouped.get(key) ?? []), source]);
+  }
+  return [...grouped.values()];
+}
+
+/**
+ * Loads all files `<half>/<team>/<kind>/<name>.jsonc` in or below a folder and
+ * checks each subtree by itself. Rejects when the folder can't be read.
+ */
+export async function loadPlayground(
+  folder: string,
+): Promise<subtree.SubtreeOutcome> {
+  const names = await fs.readdir(folder, { recursive: true });
+  const files = names.filter((name) => name.endsWith(fileExtension)).sort();
+  const sources = await Promise.all(
+    files.map((name) => readObjectSource(nodePath.join(folder, name))),
+  );
+  const outcomes = groupBySubtree(sources).map(subtree.checkSubtree);
+  const problems: readonly document.Problem[] = outcomes.flatMap((outcome) =>
+    outcome.kind === "invalid" ? outcome.problems : []
+  );
+  if (problems.length > 0) return { kind: "invalid", problems };
+  const settings = outcomes.flatMap((outcome) =>
+    outcome.kind === "valid" ? outcome.settings : []
+  );
+  return { kind: "valid", settings };
+}
--- /dev/null
+++ b/packages/anvilhinge/src/settings/subtree.ts
@@ -0,0 +1,129 @@
+/**
+ * Checks of one subtree as a whole: every reference must lead to an object of
+ * the same subtree. Nothing here reads another subtree.
+ */
+import * as document from "./document.ts";
+import * as objectPath from "./object_path.ts";
+import * as objects from "./objects.ts";
+
+/** Valid objects of one subtree. */
+export type SubtreeOutcome = document.CheckOutcome<
+  readonly objects.SettingsObject[]
+>;
+
+interface Reference {
+  readonly kind: objectPath.ObjectKind;
+  readonly name: string;
+  readonly path: document.DocumentPath;
+}
+
+function listReferences(
+  { content }: objects.SettingsObject,
+): readonly Reference[] {
+  switch (content.kind) {
+    case "workspaces":
+      return (["models", "services"] as const).flatMap((kind) =>
+        content.value[kind].map((name, index) => ({
+          kind,
+          name,
+          path: [kind, index],
+        }))
+      );
+    case "groups":
+      return content.value.kind === "model"
+        ? [{ kind: "models", name: content.value.model, path: ["model"] }]
+        : [{
+          kind: "services",
+          name: content.value.service,
+          path: ["service"],
+        }];
+    case "services":
+    case "models":
+    case "weights":
+      return [];
+  }
+}
+
+function checkReferences(
+  object: objects.SettingsObject,
+  all: readonly objects.SettingsObject[],
+): readonly document.Problem[] {
+  const { file } = object;
+  return listReferences(object).flatMap(({ kind, name, path }) => {
+    const known = all.filter((other) => other.path.kind === kind)
+      .map((other) => other.path.name);
+    if (known.includes(name)) return [];
+    const target = objectPath.formatSettingsPath({
+      ...object.path,
+      kind,
+      name,
+    });
+    const message = `${target} does not exist`;
+    const hint = document.describeKnownNames(name, known);
+    return [
+      document.createProblem(object.document, { file, path, message, hint }),
+    ];
+  });
+}
+
+function checkAgents(
+  all: readonly objects.SettingsObject[],
+): readonly document.Problem[] {
+  const owners = new Map<string, string>();
+  return all.flatMap((object) => {
+    const { content, file } = object;
+    if (content.kind !== "groups") return [];
+    return content.value.ranks.flatMap(({ agent }, index) => {
+      const owner = owners.get(agent);
+      owners.set(agent, owner ?? object.path.name);
+      if (owner === undefined) return [];
+      const path = ["ranks", index, "agent"];
+      const message =
+        `Agent ${agent} already serves a rank of group "${owner}"`;
+      return [document.createProblem(object.document, { file, path, message })];
+    });
+  });
+}
+
+function checkSameSubtree(
+  all: readonly objects.SettingsObject[],
+): readonly document.Problem[] {
+  const [first] = all;
+  if (first === undefined) return [];
+  const subtree = objectPath.formatSubtree(first.path);
+  return all
+    .filter((object) => objectPath.formatSubtree(object.path) !== subtree)
+    .map((object) =>
+      document.createProblem(object.document, {
+        file: object.file,
+        path: [],
+        message: `The object is not part of the subtree ${subtree}`,
+        hint: "Check each subtree by itself",
+      })
+    );
+}
+
+/** Checks all objects of one subtree, then their references. */
+export function checkSubtree(
+  sources: readonly objects.ObjectSource[],
+): SubtreeOutcome {
+  const outcomes = sources.map(({ path, text, file }) =>
+    objects.checkObject(path, text, { file })
+  );
+  const valid = outcomes.flatMap((outcome) =>
+    outcome.kind === "valid" ? [outcome.settings] : []
+  );
+  const problems = outcomes.flatMap((outcome) =>
+    outcome.kind === "invalid" ? outcome.problems : []
+  );
+  if (problems.length > 0) return { kind: "invalid", problems };
+  const crossProblems = [
+    ...checkSameSubtree(valid),
+    ...valid.flatMap((object) => checkReferences(object, valid)),
+    ...checkAgents(valid),
+  ];
+  if (crossProblems.length > 0) {
+    return { kind: "invalid", problems: crossProblems };
+  }
+  return { kind: "valid", settings: valid };
+}
