--- /dev/null
+++ b/packages/anvilhinge/src/adapters/assignment_codec.ts
@@ -0,0 +1,54 @@
+/** Converts assignments between the wire, the object API and the state machines. */
+import type * as assignment from "@anvilhinge/coordination/assignment";
+import * as protobuf from "@bufbuild/protobuf";
+import * as zod from "zod";
+import * as entryPb from "../gen/anvilhinge/v1/entry_pb.ts";
+
+const schema = zod.object({
+  group: zod.string().min(1),
+  half: zod.string().min(1),
+  epoch: zod.int().positive(),
+  state: zod.enum(["serving", "leaving"]),
+  nextHalf: zod.string().min(1).optional(),
+});
+
+/** Prefix of the keys of assignments in the object API. */
+export const assignmentPrefix = "assignments/";
+
+/** Parses the value of a stored assignment; undefined when it is none. */
+export function parseAssignment(
+  value: unknown,
+): assignment.Assignment | undefined {
+  const result = schema.safeParse(value);
+  return result.success ? result.data : undefined;
+}
+
+/** Encodes an assignment for the wire. */
+export function encodeAssignment(
+  value: assignment.Assignment,
+): entryPb.GroupAssignment {
+  return protobuf.create(entryPb.GroupAssignmentSchema, {
+    group: value.group,
+    half: value.half,
+    epoch: value.epoch,
+    state: value.state === "serving"
+      ? entryPb.AssignmentState.SERVING
+      : entryPb.AssignmentState.LEAVING,
+    nextHalf: value.nextHalf ?? "",
+  });
+}
+
+/** Decodes an assignment; undefined when its state is unknown here. */
+export function decodeAssignment(
+  wire: entryPb.GroupAssignment,
+): assignment.Assignment | undefined {
+  const { group, half, epoch, nextHalf } = wire;
+  switch (wire.state) {
+    case entryPb.AssignmentState.SERVING:
+      return { group, half, epoch, state: "serving" };
+    case entryPb.AssignmentState.LEAVING:
+      return { group, half, epoch, state: "leaving", nextHalf };
+    case entryPb.AssignmentState.UNSPECIFIED:
+      return undefined;
+  }
+}
--- /dev/null
+++ b/packages/anvilhinge/src/agent/mod.ts
@@ -0,0 +1,181 @@
+/** The agent role: composes its parts and runs its life cycle. */
+import * as nodeCrypto from "node:crypto";
+import * as random from "@anvilhinge/coordination/random";
+import * as awilix from "awilix";
+import * as connectServer from "../adapters/connect_server.ts";
+import * as engineHttp from "../adapters/engine_http.ts";
+import * as systemScheduler from "../adapters/system_scheduler.ts";
+import type * as engine from "../ports/engine.ts";
+import type * as scheduler from "../ports/scheduler.ts";
+import type * as process from "../settings/process.ts";
+import * as logger from "../telemetry/logger.ts";
+import * as tracing from "../telemetry/tracing.ts";
+import * as assignmentFollower from "./assignment_follower.ts";
+import * as attempts from "./attempts.ts";
+import * as service from "./service.ts";
+
+/** Adapters that replace the ones built from the settings. */
+export interface AgentAdapters {
+  readonly engine?: engine.Engine;
+  readonly logStream?: NodeJS.WritableStream;
+}
+
+/** An agent that is running. */
+export interface RunningAgent {
+  /** Address for entries as `host:port`. */
+  readonly address: string;
+  /** Refuses new work, finishes what runs, then closes. */
+  stop(): Promise<void>;
+  /** Closes at once. */
+  kill(): void;
+}
+
+interface Parts {
+  readonly settings: process.AgentSettings;
+  readonly abort: AbortController;
+  readonly incarnation: string;
+  readonly scheduler: scheduler.Scheduler;
+  readonly random: random.RandomSource;
+  readonly engine: engine.Engine;
+  readonly attempts: attempts.Attempts;
+  readonly service: service.AgentService;
+  readonly logger: logger.Logger;
+  readonly tracing: tracing.Tracing;
+}
+
+const loadIntervalMs = 100;
+const expireIntervalMs = 1_000;
+const drainPollMs = 50;
+
+/** Registers the parts of an agent. */
+function composeParts(
+  settings: process.AgentSettings,
+  adapters: AgentAdapters,
+): Parts {
+  const container = awilix.createContainer<Parts>({
+    injectionMode: awilix.InjectionMode.PROXY,
+    strict: true,
+  });
+  container.register({
+    settings: awilix.asValue(settings),
+    abort: awilix.asFunction(() => new AbortController()).singleton(),
+    incarnation: awilix.asValue(nodeCrypto.randomUUID()),
+    scheduler: awilix.asFunction(systemScheduler.createSystemScheduler)
+      .singleton(),
+    random: awilix.asFunction(() =>
+      random.createRandomSource(nodeCrypto.randomInt(2 ** 31))
+    ).singleton(),
+    engine: awilix.asFunction(({ scheduler, abort }: Parts) =>
+      adapters.engine ?? engineHttp.createHttpEngine({
+        baseUrl: settings.engine.url,
+        loadIntervalMs,
+        scheduler,
+        signal: abort.signal,
+      })
+    ).singleton(),
+    attempts: awilix.asFunction((parts: Parts) =>
+      attempts.createAttempts({
+        clock: parts.scheduler,
+        group: settings.group,
+        rank: settings.rank,
+        incarnation: parts.incarnation,
+        readLoad: () => parts.engine.readLoad(),
+      })
+    ).singleton(),
+    service: awilix.asFunction((parts: Parts) =>
+      service.createAgentService({
+        attempts: parts.attempts,
+        engine: parts.engine,
+        incarnation: parts.incarnation,
+        tracing: parts.tracing,
+      })
+    ).singleton(),
+    logger: awilix.asFunction(() =>
+      logger.createLogger({
+        part: "agent",
+        level: settings.log.level,
+        stream: adapters.logStream,
+      })
+    ).singleton(),
+    tracing: awilix.asFunction(() =>
+      tracing.createTracing({
+        role: "agent",
+        instanceId: settings.id,
+        settings: settings.tracing,
+      })
+    ).singleton(),
+  });
+  return container.cradle;
+}
+
+/** Cancels orphans and drops old frames at intervals. */
+function expireRegularly(parts: Parts): void {
+  for (const attemptId of parts.attempts.expire()) {
+    parts.service.cancelEngine(attemptId);
+  }
+  parts.scheduler.schedule(() => expireRegularly(parts), {
+    delayMs: expireIntervalMs,
+    signal: parts.abort.signal,
+  });
+}
+
+/** Starts an agent; resolves when it listens. */
+export async function startAgent(
+  settings: process.AgentSettings,
+  adapters: AgentAdapters = {},
+): Promise<RunningAgent> {
+  const parts = composeParts(settings, adapters);
+  const { abort, attempts, logger, scheduler } = parts;
+  const { signal } = abort;
+  const address = await connectServer.startConnectServer({
+    routes: parts.service.routes,
+    ...settings.address,
+    signal,
+  });
+  assignmentFollower.followAssignment({
+    group: settings.group,
+    rank: settings.rank,
+    incarnation: parts.incarnation,
+    listEntries: () => settings.entries,
+    scheduler,
+    random: parts.random,
+    signal,
+    onAssignment: attempts.setAssignment,
+    onLost: (lost) => logger.warnOnce(lost, `Lost the entry at ${lost}`),
+  });
+  expireRegularly(parts);
+  logger.info(
+    `Serves rank ${settings.rank} of group ${settings.group} on ${address}`,
+  );
+
+  function wait(delayMs: number): Promise<void> {
+    return new Promise((resolve) => scheduler.schedule(resolve, { delayMs }));
+  }
+
+  return {
+    address,
+    async stop() {
+      attempts.stop();
+      logger.info(`Finishes ${attempts.countRunning()} attempts`);
+      while (attempts.countRunning() > 0) await wait(drainPollMs);
+      await parts.tracing.stop();
+      abort.abort();
+      logger.info("Stopped");
+    },
+    kill: () => abort.abort(),
+  };
+}
+
+/** Runs an agent until the signal aborts, then stops it gracefully. */
+export async function runAgent(
+  settings: process.AgentSettings,
+  options: { readonly signal: AbortSignal },
+): Promise<void> {
+  const agent = await startAgent(settings);
+  if (!options.signal.aborted) {
+    await new Promise((resolve) =>
+      options.signal.addEventListener("abort", resolve, { once: true })
+    );
+  }
+  await agent.stop();
+}
--- a/packages/anvilhinge/src/entry/agent_client.ts
+++ b/packages/anvilhinge/src/entry/agent_client.ts
@@ -10,7 +10,11 @@
   /** The agent closed it after its last frame. */
   | { readonly kind: "closed" }
   /** It broke; `sent` is false when the request never left this node. */
-  | { readonly kind: "broken"; readonly sent: boolean; readonly message: string };
+  | {
+    readonly kind: "broken";
+    readonly sent: boolean;
+    readonly message: string;
+  };
 
 export interface StreamOptions {
   readonly address: string;
@@ -116,7 +120,10 @@
     run(attempt, stream) {
       const request = frameCodec.encodeAttempt(attempt);
       const { signal, headers } = stream;
-      void consume((client) => client.run(request, { signal, headers }), stream);
+      void consume(
+        (client) => client.run(request, { signal, headers }),
+        stream,
+      );
     },
     resume(request, stream) {
       const { signal, headers } = stream;
--- /dev/null
+++ b/packages/anvilhinge/src/entry/answer_writer.ts
@@ -0,0 +1,139 @@
+/** Writes the answer of a session to a koa response. */
+import * as stream from "node:stream";
+import type Koa from "koa";
+import type * as engine from "../ports/engine.ts";
+import * as callerError from "./caller_error.ts";
+import * as eventId from "./event_id.ts";
+import type * as runner from "./runner.ts";
+import type * as session from "./session.ts";
+
+/** Headers that belong to one connection and are not passed on. */
+const connectionHeaders: readonly string[] = [
+  "connection",
+  "content-length",
+  "keep-alive",
+  "transfer-encoding",
+  "upgrade",
+];
+
+export interface AnswerWriterOptions {
+  readonly context: Koa.Context;
+  readonly requestId: string;
+  /** Set when an earlier entry delivered a part of this stream. */
+  readonly resumePoint?: eventId.EventPoint;
+}
+
+/** Sink of a session together with the moment when koa may respond. */
+export interface AnswerWriter extends runner.AnswerSink {
+  /** Resolves when status, headers and body of the response are set. */
+  readonly ready: Promise<void>;
+}
+
+interface Source {
+  readonly upstream: session.Upstream;
+  readonly attemptId: string;
+}
+
+/** Writes an error answer as typed JSON. */
+export function writeCallerError(
+  context: Koa.Context,
+  error: callerError.CallerError,
+): void {
+  const requestId = String(context.state.requestId ?? "");
+  context.status = error.status;
+  context.body = callerError.renderCallerError(error, requestId);
+  const retryAfter = callerError.computeRetryAfter(error);
+  if (retryAfter !== undefined) context.set("Retry-After", retryAfter);
+}
+
+/** Creates the writer of one answer. */
+export function createAnswerWriter(options: AnswerWriterOptions): AnswerWriter {
+  const { context, requestId, resumePoint } = options;
+  const body = new stream.PassThrough();
+  let isEventStream = resumePoint !== undefined;
+  let isOpen = false;
+  let source: Source | undefined;
+  let setReady = () => {};
+  const ready = new Promise<void>((resolve) => {
+    setReady = resolve;
+  });
+
+  function open(): void {
+    if (isOpen) return;
+    isOpen = true;
+    context.body = body;
+    setReady();
+  }
+
+  function setHead(head: engine.AnswerHead): void {
+    context.status = head.status;
+    for (const [name, value] of head.headers) {
+      if (connectionHeaders.includes(name.toLowerCase())) continue;
+      if (name.toLowerCase() === "content-type") {
+        isEventStream = value.startsWith("text/event-stream");
+      }
+      context.set(name, value);
+    }
+  }
+
+  function getPoint(sequence: number): Omit<eventId.EventPoint, "index"> {
+    if (resumePoint !== undefined) return { ...resumePoint, sequence };
+    return {
+      requestId,
+      attemptId: source?.attemptId ?? "",
+      group: source?.upstream.group ?? "",
+      rank: source?.upstream.rank ?? 0,
+      sequence,
+    };
+  }
+
+  function openResumed(): void {
+    if (isOpen || resumePoint === undefined) return;
+    context.status = 200;
+    context.set("Content-Type", "text/event-stream");
+    open();
+  }
+
+  return {
+    ready,
+    head(head, from) {
+      source = from;
+      setHead(head);
+      open();
+    },
+    data(data, sequence) {
+      openResumed();
+      if (!isEventStream) {
+        body.write(data);
+        return;
+      }
+      const skip = resumePoint?.sequence === sequence
+        ? resumePoint.index + 1
+        : 0;
+      const point = getPoint(sequence);
+      body.write(eventId.insertEventIds(data, { point, skip }));
+    },
+    end() {
+      openResumed();
+      body.end();
+    },
+    answer(final) {
+      const error = callerError.convertFinalAnswer(final);
+      if (!isOpen) {
+        writeCallerError(context, error);
+        setReady();
+        return;
+      }
+      if (!isEventStream) {
+        // The status line has left: a broken connection is the one way to say
+        // that the answer is not whole.
+        body.destroy(new Error(error.message));
+        return;
+      }
+      const text = JSON.stringify(
+        callerError.renderCallerError(error, requestId),
+      );
+      body.end(`event: error\ndata: ${text}\n\n`);
+    },
+  };
+}
--- /dev/null
+++ b/packages/anvilhinge/src/entry/caller_error.ts
@@ -0,0 +1,100 @@
+/** Errors as callers see them: typed JSON with a code that programs can match. */
+import type * as session from "./session.ts";
+
+/** Code of an error answer. */
+export type CallerErrorCode =
+  | "missing_workspace"
+  | "unknown_workspace"
+  | "unknown_model"
+  | "unknown_service"
+  | "invalid_body"
+  | "body_too_large"
+  | "invalid_header"
+  | "not_found"
+  | "not_run"
+  | "failed"
+  | "outcome_unknown"
+  | "deadline_exceeded"
+  | "not_ready"
+  | "internal";
+
+/** An error answer before it is written to a connection. */
+export interface CallerError {
+  readonly status: number;
+  readonly code: CallerErrorCode;
+  /** What was wrong, where, and what to do. */
+  readonly message: string;
+  /** Advice when to come back, in milliseconds; 0 when there is none. */
+  readonly retryAfterMs?: number;
+}
+
+/** JSON body of an error answer. */
+export interface CallerErrorBody {
+  readonly error: {
+    readonly code: CallerErrorCode;
+    readonly message: string;
+    readonly request_id: string;
+    /** Whether the request had any effect: `no`, `yes` in part, or `unknown`. */
+    readonly ran: "no" | "yes" | "unknown";
+  };
+}
+
+const millisecondsPerSecond = 1_000;
+
+/** Converts the final answer of a session into an error answer. */
+export function convertFinalAnswer(final: session.FinalAnswer): CallerError {
+  switch (final.kind) {
+    case "not_run":
+      return {
+        status: 503,
+        code: "not_run",
+        message: `The request did not run: ${final.reason}`,
+        retryAfterMs: final.retryAfterMs,
+      };
+    case "failed":
+      return { status: 502, code: "failed", message: final.message };
+    case "unknown":
+      return {
+        status: 504,
+        code: "outcome_unknown",
+        message: `${final.message}; ask GET /v1/requests/<request id> later`,
+      };
+    case "deadline_exceeded":
+      return { status: 504, code: "deadline_exceeded", message: final.message };
+  }
+}
+
+function describeEffect(code: CallerErrorCode): "no" | "yes" | "unknown" {
+  switch (code) {
+    case "outcome_unknown":
+      return "unknown";
+    case "failed":
+    case "deadline_exceeded":
+    case "internal":
+      return "yes";
+    default:
+      return "no";
+  }
+}
+
+/** Renders the JSON body of an error answer. */
+export function renderCallerError(
+  error: CallerError,
+  requestId: string,
+): CallerErrorBody {
+  return {
+    error: {
+      code: error.code,
+      message: error.message,
+      request_id: requestId,
+      ran: describeEffect(error.code),
+    },
+  };
+}
+
+/** Returns the value of `Retry-After` in whole seconds; undefined when none. */
+export function computeRetryAfter(error: CallerError): string | undefined {
+  const retryAfterMs = error.retryAfterMs ?? 0;
+  if (retryAfterMs === 0) return undefined;
+  return String(Math.ceil(retryAfterMs / millisecondsPerSecond));
+}
--- /dev/null
+++ b/packages/anvilhinge/src/entry/control_service.ts
@@ -0,0 +1,71 @@
+/** Serves the entry's messages to agents: assignments of the groups they follow. */
+import type * as assignment from "@anvilhinge/coordination/assignment";
+import type * as connect from "@connectrpc/connect";
+import * as assignmentCodec from "../adapters/assignment_codec.ts";
+import * as streamQueue from "../adapters/stream_queue.ts";
+import * as entryPb from "../gen/anvilhinge/v1/entry_pb.ts";
+
+/** Distributes assignments to the agents that follow this entry. */
+export interface ControlService {
+  readonly routes: (router: connect.ConnectRouter) => void;
+  /** Sends the assignment to each follower of its group. */
+  publish(received: assignment.Assignment): void;
+  countFollowers(): number;
+}
+
+type Follower = streamQueue.StreamQueue<assignment.Assignment>;
+
+export interface ControlServiceOptions {
+  readonly findAssignment: (group: string) => assignment.Assignment | undefined;
+}
+
+/** Creates the service; it holds one queue for each follower. */
+export function createControlService(
+  options: ControlServiceOptions,
+): ControlService {
+  const followers = new Map<string, Set<Follower>>();
+
+  function getFollowers(group: string): Set<Follower> {
+    const known = followers.get(group) ?? new Set();
+    followers.set(group, known);
+    return known;
+  }
+
+  async function* follow(
+    group: string,
+    signal: AbortSignal,
+  ): AsyncGenerator<entryPb.GroupAssignment> {
+    const queue: Follower = streamQueue.createStreamQueue(signal);
+    const present = options.findAssignment(group);
+    if (present !== undefined) queue.push(present);
+    const ofGroup = getFollowers(group);
+    ofGroup.add(queue);
+    try {
+      for await (const received of queue) {
+        yield assignmentCodec.encodeAssignment(received);
+      }
+    } finally {
+      ofGroup.delete(queue);
+      if (ofGroup.size === 0) followers.delete(group);
+    }
+  }
+
+  return {
+    routes(router) {
+      router.service(entryPb.EntryService, {
+        followGroup: (request, context) =>
+          follow(request.group, context.signal),
+      });
+    },
+    publish(received) {
+      for (const queue of followers.get(received.group) ?? []) {
+        queue.push(received);
+      }
+    },
+    countFollowers() {
+      let count = 0;
+      for (const ofGroup of followers.values()) count += ofGroup.size;
+      return count;
+    },
+  };
+}
--- /dev/null
+++ b/packages/anvilhinge/src/entry/mod.ts
@@ -0,0 +1,252 @@
+/** The entry role: composes its parts and runs its life cycle. */
+import * as nodeCrypto from "node:crypto";
+import * as random from "@anvilhinge/coordination/random";
+import * as awilix from "awilix";
+import Koa from "koa";
+import * as connectServer from "../adapters/connect_server.ts";
+import * as httpServer from "../adapters/http_server.ts";
+import * as instanceListHttp from "../adapters/instance_list_http.ts";
+import * as objectStoreHttp from "../adapters/object_store_http.ts";
+import * as systemScheduler from "../adapters/system_scheduler.ts";
+import type * as instanceList from "../ports/instance_list.ts";
+import type * as objectStore from "../ports/object_store.ts";
+import type * as scheduler from "../ports/scheduler.ts";
+import type * as process from "../settings/process.ts";
+import * as logger from "../telemetry/logger.ts";
+import * as metrics from "../telemetry/metrics.ts";
+import * as tracing from "../telemetry/tracing.ts";
+import * as addresses from "./addresses.ts";
+import * as agentClient from "./agent_client.ts";
+import * as callersHttp from "./callers_http.ts";
+import * as catalog from "./catalog.ts";
+import type * as context from "./context.ts";
+import * as controlService from "./control_service.ts";
+import * as operatorsHttp from "./operators_http.ts";
+import * as upstreams from "./upstreams.ts";
+import * as view from "./view.ts";
+
+/** Adapters that replace the ones built from the settings. */
+export interface EntryAdapters {
+  readonly store?: objectStore.ObjectStore;
+  readonly instances?: instanceList.InstanceList;
+  readonly logStream?: NodeJS.WritableStream;
+}
+
+/** An entry that is running. */
+export interface RunningEntry {
+  /** Callers' and operators' address as `host:port`. */
+  readonly address: string;
+  readonly controlAddress: string;
+  /** Finishes the requests in progress, then closes. */
+  stop(): Promise<void>;
+  /** Closes at once. */
+  kill(): void;
+}
+
+interface Parts extends context.EntryContext {
+  readonly abort: AbortController;
+  readonly instances: instanceList.InstanceList;
+  readonly control: controlService.ControlService;
+}
+
+const membersIntervalMs = 500;
+const drainPollMs = 50;
+const platformTimeoutMs = 2_000;
+
+/** Registers the parts of an entry. */
+function composeParts(
+  settings: process.EntrySettings,
+  adapters: EntryAdapters,
+): Parts {
+  const container = awilix.createContainer<Parts>({
+    injectionMode: awilix.InjectionMode.PROXY,
+    strict: true,
+  });
+  let members: readonly addresses.EntryMember[] = [];
+  container.register({
+    settings: awilix.asValue(settings),
+    abort: awilix.asFunction(() => new AbortController()).singleton(),
+    scheduler: awilix.asFunction(systemScheduler.createSystemScheduler)
+      .singleton(),
+    random: awilix.asFunction(() =>
+      random.createRandomSource(nodeCrypto.randomInt(2 ** 31))
+    ).singleton(),
+    createId: awilix.asValue(() => nodeCrypto.randomUUID()),
+    store: awilix.asFunction(() =>
+      adapters.store ?? objectStoreHttp.createHttpObjectStore({
+        baseUrl: settings.platform.objectStore,
+        timeoutMs: platformTimeoutMs,
+      })
+    ).singleton(),
+    instances: awilix.asFunction(() =>
+      adapters.instances ?? instanceListHttp.createHttpInstanceList({
+        baseUrl: settings.platform.instanceList,
+        timeoutMs: platformTimeoutMs,
+      })
+    ).singleton(),
+    catalog: awilix.asFunction(catalog.createCatalog).singleton(),
+    upstreams: awilix.asFunction(({ random }: Parts) =>
+      upstreams.createUpstreamTable({ random })
+    ).singleton(),
+    client: awilix.asFunction(({ abort }: Parts) =>
+      agentClient.createAgentClient({ signal: abort.signal })
+    ).singleton(),
+    control: awilix.asFunction(({ upstreams }: Parts) =>
+      controlService.createControlService({
+        findAssignment: upstreams.findAssignment,
+      })
+    ).singleton(),
+    logger: awilix.asFunction(() =>
+      logger.createLogger({
+        part: "entry",
+        level: settings.log.level,
+        stream: adapters.logStream,
+      })
+    ).singleton(),
+    metrics: awilix.asFunction(metrics.createMetrics).singleton(),
+    tracing: awilix.asFunction(() =>
+      tracing.createTracing({
+        role: "entry",
+        instanceId: settings.id,
+        settings: settings.tracing,
+      })
+    ).singleton(),
+    state: awilix.asValue<context.EntryState>({
+      isReady: false,
+      isLeaving: false,
+      isClosed: false,
+      openRequests: 0,
+    }),
+    listMembers: awilix.asFunction(({ instances, scheduler, abort }: Parts) => {
+      pollMembers({
+        instances,
+        scheduler,
+        half: settings.half,
+        signal: abort.signal,
+        onMembers: (found) => {
+          members = found;
+        },
+      });
+      return () => members;
+    }).singleton(),
+  });
+  return container.cradle;
+}
+
+interface PollOptions {
+  readonly instances: instanceList.InstanceList;
+  readonly scheduler: scheduler.Scheduler;
+  readonly half: string;
+  readonly signal: AbortSignal;
+  readonly onMembers: (members: readonly addresses.EntryMember[]) => void;
+}
+
+/** Reads the instance list at intervals; keeps the last view during an outage. */
+function pollMembers(options: PollOptions): void {
+  const { instances, half, signal } = options;
+
+  async function poll(): Promise<void> {
+    const outcome = await instances.list();
+    if (signal.aborted) return;
+    if (outcome.kind === "listed") {
+      const entries = outcome.instances.filter((instance) =>
+        instance.role === "entry" && instance.half === half
+      );
+      options.onMembers(entries);
+    }
+    options.scheduler.schedule(() => void poll(), {
+      delayMs: membersIntervalMs,
+      signal,
+    });
+  }
+
+  void poll();
+}
+
+function createApp(parts: Parts): Koa {
+  const app = new Koa();
+  app.on(
+    "error",
+    (error: Error) =>
+      parts.logger.warnOnce(error.message, `Request failed: ${error.message}`),
+  );
+  app.use(callersHttp.createCallersRouter(parts).routes());
+  app.use(operatorsHttp.createOperatorsRouter(parts).routes());
+  app.use((koa) => {
+    koa.status = 404;
+    koa.body = {
+      error: {
+        code: "not_found",
+        message: `No such route: ${koa.method} ${koa.path}`,
+      },
+    };
+  });
+  return app;
+}
+
+/** Starts an entry; resolves when it listens and has confirmed its view. */
+export async function startEntry(
+  settings: process.EntrySettings,
+  adapters: EntryAdapters = {},
+): Promise<RunningEntry> {
+  const parts = composeParts(settings, adapters);
+  const { abort, state, logger, scheduler } = parts;
+  const { signal } = abort;
+  const address = await httpServer.startHttpServer({
+    app: createApp(parts),
+    ...settings.address,
+    signal,
+  });
+  const controlAddress = await connectServer.startConnectServer({
+    routes: parts.control.routes,
+    ...settings.controlAddress,
+    signal,
+  });
+  await new Promise<void>((resolve) =>
+    view.followView({
+      entry: parts,
+      signal,
+      onAssignment: parts.control.publish,
+      onReady: () => {
+        state.isReady = true;
+        resolve();
+      },
+    })
+  );
+  logger.info(`Serves callers on ${address} and agents on ${controlAddress}`);
+
+  function wait(delayMs: number): Promise<void> {
+    return new Promise((resolve) => scheduler.schedule(resolve, { delayMs }));
+  }
+
+  return {
+    address,
+    controlAddress,
+    async stop() {
+      state.isLeaving = true;
+      logger.info("Stops being handed out");
+      await wait(settings.addressAnswerTtlMs);
+      state.isClosed = true;
+      logger.info(`Finishes ${state.openRequests} requests`);
+      while (state.openRequests > 0) await wait(drainPollMs);
+      await parts.tracing.stop();
+      abort.abort();
+      logger.info("Stopped");
+    },
+    kill: () => abort.abort(),
+  };
+}
+
+/** Runs an entry until the signal aborts, then stops it gracefully. */
+export async function runEntry(
+  settings: process.EntrySettings,
+  options: { readonly signal: AbortSignal },
+): Promise<void> {
+  const entry = await startEntry(settings);
+  if (!options.signal.aborted) {
+    await new Promise((resolve) =>
+      options.signal.addEventListener("abort", resolve, { once: true })
+    );
+  }
+  await entry.stop();
+}
--- a/packages/anvilhinge/src/entry/session.ts
+++ b/packages/anvilhinge/src/entry/session.ts
@@ -316,7 +316,12 @@
     if (running.nextSequence > 0 && running.resumes < maxResumes) {
       running.resumes += 1;
       return [
-        { kind: "resume", upstream, attemptId, fromSequence: running.nextSequence },
+        {
+          kind: "resume",
+          upstream,
+          attemptId,
+          fromSequence: running.nextSequence,
+        },
         { kind: "set_timer", name: "stall", delayMs: stallMs },
       ];
     }
@@ -419,7 +424,12 @@
       case "finished":
         running.resumes += 1;
         return [
-          { kind: "resume", upstream, attemptId, fromSequence: running.nextSequence },
+          {
+            kind: "resume",
+            upstream,
+            attemptId,
+            fromSequence: running.nextSequence,
+          },
           { kind: "set_timer", name: "stall", delayMs: stallMs },
         ];
       case "unreachable":
--- a/packages/anvilhinge/src/entry/store_follower.ts
+++ b/packages/anvilhinge/src/entry/store_follower.ts
@@ -48,7 +48,10 @@
     options.onRemoved?.(key, version);
   }
 
-  function applyList(objects: readonly objectStore.StoredObject[], version: number): void {
+  function applyList(
+    objects: readonly objectStore.StoredObject[],
+    version: number,
+  ): void {
     const listed = new Set(objects.map((object) => object.key));
     for (const key of [...known.keys()]) {
       if (!listed.has(key)) applyRemoval(key, version);
--- a/packages/anvilhinge/src/entry/upstreams.ts
+++ b/packages/anvilhinge/src/entry/upstreams.ts
@@ -39,6 +39,7 @@
   ): void;
   /** Names of what the half serves now, for `GET /v1/models`. */
   listServed(half: string, kind: "model" | "service"): readonly string[];
+  findAssignment(group: string): assignment.Assignment | undefined;
   listAssignments(): readonly assignment.Assignment[];
 }
 
@@ -151,6 +152,7 @@
       }
       return [...names].sort();
     },
+    findAssignment: (group) => assignments.get(group),
     listAssignments: () => [...assignments.values()],
   };
 }
--- /dev/null
+++ b/packages/anvilhinge/src/settings/record.ts
@@ -0,0 +1,58 @@
+/** A settings object as the object API keeps it, with its recent history. */
+import * as zod from "zod";
+import * as objectPath from "./object_path.ts";
+
+/** Prefix of the keys of settings objects in the object API. */
+export const settingsPrefix = "settings";
+
+/** Changes that one record remembers. */
+export const historyLimit = 20;
+
+const change = zod.object({
+  changeId: zod.string().min(1),
+  author: zod.string(),
+  /** ISO 8601 instant by the clock of the entry that accepted it. */
+  at: zod.string(),
+  /** Version of the object before this change; 0 = it did not exist. */
+  previousVersion: zod.int().min(0),
+}).readonly();
+
+const schema = zod.object({
+  text: zod.string(),
+  changes: zod.array(change).min(1).readonly(),
+}).readonly();
+
+/** One accepted change. */
+export type Change = zod.output<typeof change>;
+
+/** Text of a settings object and its changes, the latest first. */
+export type SettingsRecord = zod.output<typeof schema>;
+
+/** Parses a stored value; undefined when it is not a settings record. */
+export function parseRecord(value: unknown): SettingsRecord | undefined {
+  const result = schema.safeParse(value);
+  return result.success ? result.data : undefined;
+}
+
+/** Builds the record that follows `previous` by one change. */
+export function buildRecord(
+  previous: SettingsRecord | undefined,
+  next: { readonly text: string; readonly change: Change },
+): SettingsRecord {
+  const changes = [next.change, ...previous?.changes ?? []];
+  return { text: next.text, changes: changes.slice(0, historyLimit) };
+}
+
+/** Returns the key in the object API of `/<half>/<team>/<kind>/<name>`. */
+export function formatKey(path: string): string {
+  return `${settingsPrefix}${path}`;
+}
+
+/** Returns the settings path of a key; undefined for keys of other kinds. */
+export function parseKey(key: string): string | undefined {
+  if (!key.startsWith(`${settingsPrefix}/`)) return undefined;
+  const path = key.slice(settingsPrefix.length);
+  return objectPath.parseSettingsPath(path).kind === "parsed"
+    ? path
+    : undefined;
+}
