--- /dev/null
+++ b/packages/anvilhinge/src/stand_ins/local_object_store.ts
@@ -0,0 +1,170 @@
+/** The object store port on the core in the same process, with faults. */
+import type * as objectStore from "../ports/object_store.ts";
+import type * as scheduler from "../ports/scheduler.ts";
+import type * as faults from "./faults.ts";
+import type * as objectApi from "./object_api.ts";
+
+const defaultTimeoutMs = 1_000;
+
+export interface LocalObjectStoreOptions {
+  readonly faults: faults.FaultSwitch;
+  readonly scheduler: scheduler.Scheduler;
+  /**
+   * Time after which a stalled call is given up.
+   * @default 1000
+   */
+  readonly timeoutMs?: number;
+}
+
+interface Call<Outcome> {
+  readonly execute: () => Outcome;
+  /** Outcome when the store refuses before any effect. */
+  readonly refused: Outcome;
+  /** Outcome when no answer arrives. */
+  readonly unanswered: Outcome;
+}
+
+const unavailable: objectStore.Unavailable = {
+  kind: "unavailable",
+  message: "The object API is unavailable; try again later",
+};
+
+const unknown: objectStore.WriteOutcome = {
+  kind: "unknown",
+  message: "The object API did not answer the write; read the key again",
+};
+
+/** Creates a client of `api` that opens no socket. */
+export function createLocalObjectStore(
+  api: objectApi.ObjectApi,
+  options: LocalObjectStoreOptions,
+): objectStore.ObjectStore {
+  const timeoutMs = options.timeoutMs ?? defaultTimeoutMs;
+  const timers = options.scheduler;
+
+  function wait(delayMs: number): Promise<void> {
+    return new Promise((resolve) => timers.schedule(resolve, { delayMs }));
+  }
+
+  async function run<Outcome>(call: Call<Outcome>): Promise<Outcome> {
+    const fault = options.faults.take();
+    switch (fault.kind) {
+      case "none":
+        return call.execute();
+      case "down":
+      case "crash":
+        return call.refused;
+      case "slow":
+        await wait(fault.delayMs);
+        return call.execute();
+      case "answer_lost":
+        call.execute();
+        return call.unanswered;
+      case "late":
+        timers.schedule(call.execute, { delayMs: fault.delayMs });
+        return call.unanswered;
+      case "duplicated": {
+        const outcome = call.execute();
+        call.execute();
+        return outcome;
+      }
+      case "stall":
+        await wait(timeoutMs);
+        return call.unanswered;
+    }
+  }
+
+  function runWrite(
+    execute: () => objectApi.ApiWriteOutcome,
+  ): Promise<objectStore.WriteOutcome> {
+    return run<objectStore.WriteOutcome>({
+      execute: () => convertWrite(execute()),
+      refused: unavailable,
+      unanswered: unknown,
+    });
+  }
+
+  return {
+    read: (key) =>
+      run<objectStore.ReadOutcome>({
+        execute: () => api.read(key),
+        refused: unavailable,
+        unanswered: unavailable,
+      }),
+    list: (prefix) =>
+      run<objectStore.ListOutcome>({
+        execute: () => api.list(prefix),
+        refused: unavailable,
+        unanswered: unavailable,
+      }),
+    write: (key, value, condition) =>
+      runWrite(() => api.write(key, value, condition)),
+    remove: (key, condition) => runWrite(() => api.remove(key, condition)),
+    watch: (prefix, watchOptions) =>
+      startWatch(api, { prefix, watchOptions, ...options }),
+  };
+}
+
+/** Maps an outcome of the core to one of the port. */
+export function convertWrite(
+  outcome: objectApi.ApiWriteOutcome,
+): objectStore.WriteOutcome {
+  if (outcome.kind !== "too_large") return outcome;
+  return { kind: "unavailable", message: outcome.message };
+}
+
+interface WatchStart extends LocalObjectStoreOptions {
+  readonly prefix: string;
+  readonly watchOptions: objectStore.WatchOptions;
+}
+
+/**
+ * Delivers events from a queue, one timer each, so that no event arrives while
+ * its writer is still running, and none overtakes another when delays change.
+ */
+function startWatch(api: objectApi.ObjectApi, start: WatchStart): void {
+  const { sinceVersion, signal, onEvent } = start.watchOptions;
+  const ended = new AbortController();
+  const endSignal = AbortSignal.any([signal, ended.signal]);
+  const queue: objectStore.WatchEvent[] = [];
+
+  function deliverNext(): void {
+    if (endSignal.aborted || start.faults.get().kind === "stall") return;
+    const event = queue.shift();
+    if (event === undefined) return;
+    if (event.kind === "closed") ended.abort();
+    onEvent(event);
+  }
+
+  function scheduleDelivery(): void {
+    const fault = start.faults.get();
+    const delayMs = fault.kind === "slow" ? fault.delayMs : 0;
+    start.scheduler.schedule(deliverNext, { delayMs, signal: endSignal });
+  }
+
+  function enqueue(event: objectStore.WatchEvent): void {
+    queue.push(event);
+    scheduleDelivery();
+  }
+
+  function handleFault(fault: faults.Fault): void {
+    if (isBroken(fault)) return enqueueClosed();
+    for (const _event of queue) scheduleDelivery();
+  }
+
+  function enqueueClosed(): void {
+    enqueue({ kind: "closed", message: unavailable.message });
+  }
+
+  if (isBroken(start.faults.take())) return enqueueClosed();
+  start.faults.subscribe(handleFault, endSignal);
+  api.watch(start.prefix, {
+    sinceVersion,
+    signal: endSignal,
+    onEvent: enqueue,
+  });
+}
+
+function isBroken(fault: faults.Fault): boolean {
+  return fault.kind === "down" || fault.kind === "crash";
+}
