--- /dev/null
+++ b/packages/anvilhinge/src/adapters/engine_http.ts
@@ -0,0 +1,165 @@
+/**
+ * Engine port over HTTP, for a rank of a model group and for a replica of a
+ * plain service. The body of an answer passes through as raw bytes.
+ */
+import type * as undici from "undici";
+import * as zod from "zod";
+import type * as engine from "../ports/engine.ts";
+import type * as scheduler from "../ports/scheduler.ts";
+import * as httpClient from "./http_client.ts";
+
+/** Headers that concern one connection and are not passed on. */
+const connectionHeaders = new Set([
+  "connection",
+  "expect",
+  "host",
+  "keep-alive",
+  "proxy-connection",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+]);
+
+const loadTimeoutMs = 1_000;
+
+const loadSchema = zod.object({
+  running: zod.number(),
+  queued: zod.number(),
+  stepUs: zod.number(),
+});
+
+export interface HttpEngineOptions {
+  readonly baseUrl: string;
+  /** Time between two reads of `GET /load`, in milliseconds. */
+  readonly loadIntervalMs: number;
+  readonly scheduler: scheduler.Scheduler;
+  /** Ends the reads of the load and all work. */
+  readonly signal: AbortSignal;
+  /** @default a pool of its own */
+  readonly dispatcher?: undici.Dispatcher;
+}
+
+/**
+ * Creates a client of one engine. While the engine reports no load, the load is
+ * the number of requests in flight from here.
+ */
+export function createHttpEngine(options: HttpEngineOptions): engine.Engine {
+  const { scheduler: timers, signal, loadIntervalMs } = options;
+  const dispatcher = options.dispatcher ?? httpClient.createDispatcher();
+  const target = httpClient.parseTarget(options.baseUrl);
+  let reported: engine.EngineLoad | undefined;
+  let inFlight = 0;
+
+  async function updateLoad(): Promise<void> {
+    reported = await fetchLoad({ dispatcher, target, signal });
+    if (signal.aborted) return;
+    timers.schedule(updateLoad, { delayMs: loadIntervalMs, signal });
+  }
+
+  async function run(request: engine.EngineRequest): Promise<void> {
+    inFlight += 1;
+    const outcome = await execute(request, { dispatcher, target, signal });
+    inFlight -= 1;
+    request.onEvent(outcome);
+  }
+
+  if (options.dispatcher === undefined) {
+    signal.addEventListener("abort", () => void dispatcher.destroy(), {
+      once: true,
+    });
+  }
+  void updateLoad();
+  return {
+    start: (request) => void run(request),
+    readLoad: () => reported ?? { running: inFlight, queued: 0, stepUs: 0 },
+  };
+}
+
+interface Connection {
+  readonly dispatcher: undici.Dispatcher;
+  readonly target: httpClient.Target;
+  readonly signal: AbortSignal;
+}
+
+type LastEvent = Extract<
+  engine.EngineEvent,
+  { readonly kind: "end" | "failed" }
+>;
+
+/** Delivers all events but the last, which it returns. */
+async function execute(
+  request: engine.EngineRequest,
+  { dispatcher, target, signal }: Connection,
+): Promise<LastEvent> {
+  try {
+    const response = await dispatcher.request({
+      origin: target.origin,
+      path: target.basePath + request.path,
+      method: request.method as undici.Dispatcher.HttpMethod,
+      headers: composeHeaders(request),
+      body: request.body.length === 0 ? null : request.body,
+      signal: AbortSignal.any([signal, request.signal]),
+    });
+    const headers = convertHeaders(response.headers);
+    const head = { status: response.statusCode, headers };
+    request.onEvent({ kind: "head", head });
+    for await (const data of response.body) {
+      request.onEvent({ kind: "data", data });
+    }
+    return { kind: "end" };
+  } catch (error) {
+    const message = httpClient.describeError(error);
+    const started = !httpClient.isRefused(error);
+    return { kind: "failed", message, started };
+  }
+}
+
+function composeHeaders(request: engine.EngineRequest): string[] {
+  const passed = request.headers.filter(([name]) => isPassed(name));
+  return [
+    ...passed.flat(),
+    "x-request-id",
+    request.requestId,
+    "x-attempt-id",
+    request.attemptId,
+    "x-priority",
+    String(request.priority),
+    "x-deadline-ms",
+    String(Math.max(0, Math.floor(request.deadlineMs))),
+  ];
+}
+
+/** The length of the body is set by the client library. */
+function isPassed(name: string): boolean {
+  const lower = name.toLowerCase();
+  return lower !== "content-length" && !connectionHeaders.has(lower);
+}
+
+function convertHeaders(
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+): [string, string][] {
+  return Object.entries(headers)
+    .filter(([name]) => !connectionHeaders.has(name))
+    .flatMap(([name, value = []]) =>
+      [value].flat().map((one): [string, string] => [name, one])
+    );
+}
+
+/** Returns nothing when the engine does not report its load. */
+async function fetchLoad(
+  { dispatcher, target, signal }: Connection,
+): Promise<engine.EngineLoad | undefined> {
+  try {
+    const response = await dispatcher.request({
+      origin: target.origin,
+      path: `${target.basePath}/load`,
+      method: "GET",
+      signal: AbortSignal.any([signal, AbortSignal.timeout(loadTimeoutMs)]),
+    });
+    const result = loadSchema.safeParse(await response.body.json());
+    return result.data;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/anvilhinge/src/adapters/http_client.ts
@@ -0,0 +1,31 @@
+/** What the HTTP client adapters share. */
+import * as undici from "undici";
+
+/** Where requests of an adapter go. */
+export interface Target {
+  readonly origin: string;
+  /** Path of the base URL without a trailing slash. */
+  readonly basePath: string;
+}
+
+/** Splits a base URL such as `http://127.0.0.1:8080/api`. */
+export function parseTarget(baseUrl: string): Target {
+  const { origin, pathname } = new URL(baseUrl);
+  return { origin, basePath: pathname.replace(/\/+$/, "") };
+}
+
+/** Creates a pool whose limits in time are those of the callers' signals. */
+export function createDispatcher(): undici.Dispatcher {
+  return new undici.Agent({ headersTimeout: 0, bodyTimeout: 0 });
+}
+
+/** Tells whether the connection was refused, so that nothing was sent. */
+export function isRefused(error: unknown): boolean {
+  return error instanceof Error && "code" in error &&
+    error.code === "ECONNREFUSED";
+}
+
+/** Returns the text of an error of the client library. */
+export function describeError(error: unknown): string {
+  return error instanceof Error ? error.message : String(error);
+}
--- /dev/null
+++ b/packages/anvilhinge/src/stand_ins/answer.ts
@@ -0,0 +1,80 @@
+/** What the model engine stand-in answers: a pure function of the request. */
+import * as crypto from "node:crypto";
+import * as random from "@anvilhinge/coordination/random";
+import * as zod from "zod";
+
+const minimumTokens = 8;
+const maximumTokens = 64;
+
+const vocabulary = [
+  "valve",
+  "sheet",
+  "layer",
+  "pipe",
+  "depth",
+  "revision",
+  "outlet",
+  "chamber",
+  "slope",
+  "diameter",
+  "level",
+  "note",
+  "north",
+  "main",
+  "joint",
+  "scale",
+] as const;
+
+const bodySchema = zod.object({
+  model: zod.string(),
+  messages: zod.array(zod.object({
+    role: zod.string(),
+    content: zod.string(),
+  })),
+  stream: zod.boolean().optional(),
+  max_tokens: zod.int().positive().optional(),
+});
+
+/** The parts of a chat completion request that the stand-in reads. */
+export type ChatBody = Readonly<zod.infer<typeof bodySchema>>;
+
+export type ParseOutcome =
+  | { readonly kind: "parsed"; readonly body: ChatBody }
+  | { readonly kind: "invalid"; readonly message: string };
+
+/** Checks the JSON value of a request body. */
+export function parseBody(value: unknown): ParseOutcome {
+  const result = bodySchema.safeParse(value);
+  if (result.success) return { kind: "parsed", body: result.data };
+  return { kind: "invalid", message: zod.prettifyError(result.error) };
+}
+
+/** Returns a seed that depends on the model and the messages only. */
+export function computeSeed(body: ChatBody): number {
+  const messages = body.messages.map(({ role, content }) => [role, content]);
+  const text = JSON.stringify([body.model, messages]);
+  return crypto.createHash("sha256").update(text).digest().readInt32LE(0);
+}
+
+/**
+ * Returns the tokens of the whole answer: 8 to 64 tokens that depend on the
+ * model and the messages, cut to `max_tokens` when that is given.
+ */
+export function describeAnswer(body: ChatBody): string[] {
+  const draw = random.createRandomSource(computeSeed(body));
+  const range = maximumTokens - minimumTokens + 1;
+  const drawnTokens = minimumTokens + Math.floor(draw() * range);
+  const count = Math.min(drawnTokens, body.max_tokens ?? drawnTokens);
+  return Array.from({ length: count }, (_value, index) => {
+    const word = vocabulary[Math.floor(draw() * vocabulary.length)];
+    return index === 0 ? `${word}` : ` ${word}`;
+  });
+}
+
+/** Splits the messages into prompt tokens. */
+export function extractPromptTokens(body: ChatBody): string[] {
+  return body.messages.flatMap(({ role, content }) => [
+    `<${role}>`,
+    ...content.split(/\s+/).filter((word) => word !== ""),
+  ]);
+}
--- /dev/null
+++ b/packages/anvilhinge/src/stand_ins/engine_orders.ts
@@ -0,0 +1,96 @@
+/** Orders that one rank of the model engine accepts, with fencing numbers. */
+import * as zod from "zod";
+
+const fencingNumber = zod.int().min(0);
+
+const orderSchema = zod.discriminatedUnion("kind", [
+  zod.object({
+    kind: zod.literal("install_map"),
+    fencingNumber,
+    version: zod.int().min(0),
+    /** Ranks by expert number. */
+    holders: zod.array(zod.array(zod.int().min(0)).min(1)).min(1),
+  }),
+  zod.object({
+    kind: zod.literal("load_model"),
+    fencingNumber,
+    model: zod.string(),
+    version: zod.string(),
+  }),
+  zod.object({
+    kind: zod.literal("set_role"),
+    fencingNumber,
+    role: zod.string(),
+  }),
+]);
+
+export type Order = Readonly<zod.infer<typeof orderSchema>>;
+export type MapOrder = Extract<Order, { readonly kind: "install_map" }>;
+
+export type ParseOutcome =
+  | { readonly kind: "parsed"; readonly order: Order }
+  | { readonly kind: "invalid"; readonly message: string };
+
+export type OrderOutcome =
+  | { readonly kind: "done" }
+  /** The rank has seen a higher fencing number. */
+  | { readonly kind: "fenced"; readonly highestFencingNumber: number }
+  | { readonly kind: "crashed" };
+
+/** What a rank has in force. */
+export interface OrderState {
+  /** Highest fencing number seen; 0 after a restart. */
+  readonly highestFencingNumber: number;
+  readonly role: string;
+  /** Version by model name. */
+  readonly models: Readonly<Record<string, string>>;
+  readonly map: MapOrder | undefined;
+}
+
+export const initialState: OrderState = {
+  highestFencingNumber: 0,
+  role: "serving",
+  models: {},
+  map: undefined,
+};
+
+export interface OrderResult {
+  readonly outcome: OrderOutcome;
+  readonly state: OrderState;
+}
+
+/** Checks the JSON value of an order. */
+export function parseOrder(value: unknown): ParseOutcome {
+  const result = orderSchema.safeParse(value);
+  if (result.success) return { kind: "parsed", order: result.data };
+  return { kind: "invalid", message: zod.prettifyError(result.error) };
+}
+
+/** Applies an order; with `checksFencing` an old fencing number is refused. */
+export function applyOrder(
+  state: OrderState,
+  order: Order,
+  { checksFencing }: { readonly checksFencing: boolean },
+): OrderResult {
+  const { highestFencingNumber } = state;
+  if (checksFencing && order.fencingNumber < highestFencingNumber) {
+    return { outcome: { kind: "fenced", highestFencingNumber }, state };
+  }
+  const highest = Math.max(highestFencingNumber, order.fencingNumber);
+  const fenced = { ...state, highestFencingNumber: highest };
+  return { outcome: { kind: "done" }, state: applyChange(fenced, order) };
+}
+
+function applyChange(state: OrderState, order: Order): OrderState {
+  switch (order.kind) {
+    case "install_map":
+      return { ...state, map: order };
+    case "load_model":
+      return {
+        ...state,
+        models: { ...state.models, [order.model]: order.version },
+      };
+    case "set_role":
+      return { ...state, role: order.role };
+  }
+}
