--- a/packages/anvilhinge/src/agent/service.ts
+++ b/packages/anvilhinge/src/agent/service.ts
@@ -1,16 +1,20 @@
 /** Serves the agent's messages with connect-es; a thin layer over `attempts`. */
 import type * as connect from "@connectrpc/connect";
+import * as api from "@opentelemetry/api";
 import * as frameCodec from "../adapters/frame_codec.ts";
 import * as streamQueue from "../adapters/stream_queue.ts";
 import * as agentPb from "../gen/anvilhinge/v1/agent_pb.ts";
 import type * as engine from "../ports/engine.ts";
 import type * as frames from "../ports/frames.ts";
+import * as tracing from "../telemetry/tracing.ts";
 import type * as attempts from "./attempts.ts";
+import * as eventSplitter from "./event_splitter.ts";
 
 export interface AgentServiceOptions {
   readonly attempts: attempts.Attempts;
   readonly engine: engine.Engine;
   readonly incarnation: string;
+  readonly tracing: tracing.Tracing;
 }
 
 /** The routes of an agent and the means to cancel its engine work. */
@@ -19,24 +23,32 @@
   cancelEngine(attemptId: string): void;
 }
 
+interface Spans {
+  /** Trace context to be passed on to the engine. */
+  readonly headers: Readonly<Record<string, string>>;
+  end(event: engine.EngineEvent): void;
+}
+
 const chatPath = "/v1/chat/completions";
 
 /** Creates the agent's connect-es service. */
 export function createAgentService(options: AgentServiceOptions): AgentService {
   const running = new Map<string, AbortController>();
 
-  function startEngine(attempt: frames.Attempt): void {
+  function startEngine(attempt: frames.Attempt, headers: Headers): void {
     const abort = new AbortController();
     running.set(attempt.attemptId, abort);
     const work = attempt.work;
+    const spans = startSpans(attempt, headers);
+    const deliver = createDelivery((event) =>
+      options.attempts.receiveEvent(attempt.attemptId, event)
+    );
     options.engine.start({
       requestId: attempt.requestId,
       attemptId: attempt.attemptId,
       method: work.kind === "model" ? "POST" : work.method,
       path: work.kind === "model" ? chatPath : work.path,
-      headers: work.kind === "model"
-        ? [["content-type", "application/json"]]
-        : work.headers,
+      headers: [...getWorkHeaders(work), ...Object.entries(spans.headers)],
       body: work.body,
       priority: attempt.priority,
       deadlineMs: attempt.deadlineMs,
@@ -44,12 +56,43 @@
       onEvent(event) {
         if (event.kind === "end" || event.kind === "failed") {
           running.delete(attempt.attemptId);
+          spans.end(event);
         }
-        options.attempts.receiveEvent(attempt.attemptId, event);
+        deliver(event);
       },
     });
   }
 
+  /** Starts the spans of this hop and of the call to the engine. */
+  function startSpans(attempt: frames.Attempt, headers: Headers): Spans {
+    const { tracer } = options.tracing;
+    const attributes = {
+      "request.id": attempt.requestId,
+      "attempt.id": attempt.attemptId,
+      "upstream": `${attempt.group}/${attempt.rank}`,
+    };
+    const parent = tracing.extractContext(Object.fromEntries(headers));
+    const kind = api.SpanKind.SERVER;
+    const agent = tracer.startSpan("agent", { kind, attributes }, parent);
+    const engine = tracer.startSpan(
+      "engine",
+      { kind: api.SpanKind.CLIENT, attributes },
+      api.trace.setSpan(parent, agent),
+    );
+    const carried = tracing.injectContext(api.trace.setSpan(parent, engine));
+    return {
+      headers: carried as Readonly<Record<string, string>>,
+      end(event) {
+        if (event.kind === "failed") {
+          const code = api.SpanStatusCode.ERROR;
+          engine.setStatus({ code, message: event.message });
+        }
+        engine.end();
+        agent.end();
+      },
+    };
+  }
+
   function cancelEngine(attemptId: string): void {
     const hadWork = options.attempts.cancel(attemptId);
     if (hadWork) running.get(attemptId)?.abort();
@@ -84,7 +127,9 @@
         }
         return streamFrames(attempt.attemptId, (sink) => {
           const outcome = options.attempts.offer(attempt, sink);
-          if (outcome.kind === "start") startEngine(attempt);
+          if (outcome.kind === "start") {
+            startEngine(attempt, context.requestHeader);
+          }
         }, context.signal);
       },
       resume(request, context) {
@@ -114,6 +159,55 @@
   return { routes, cancelEngine };
 }
 
+function getWorkHeaders(
+  work: frames.Work,
+): readonly (readonly [name: string, value: string])[] {
+  return work.kind === "model"
+    ? [["content-type", "application/json"]]
+    : work.headers;
+}
+
+/** Passes events on; the data of event streams is cut at the ends of events. */
+function createDelivery(
+  deliver: (event: engine.EngineEvent) => void,
+): (event: engine.EngineEvent) => void {
+  let splitter: eventSplitter.EventSplitter | undefined;
+
+  function deliverData(data: Uint8Array | undefined): void {
+    if (data !== undefined) deliver({ kind: "data", data });
+  }
+
+  return (event) => {
+    switch (event.kind) {
+      case "head":
+        if (isEventStream(event.head)) {
+          splitter = eventSplitter.createEventSplitter();
+        }
+        deliver(event);
+        return;
+      case "data":
+        deliverData(splitter === undefined
+          ? event.data
+          : splitter.push(event.data));
+        return;
+      case "end":
+        deliverData(splitter?.flush());
+        deliver(event);
+        return;
+      case "failed":
+        deliver(event);
+        return;
+    }
+  };
+}
+
+function isEventStream(head: engine.AnswerHead): boolean {
+  return head.headers.some(([name, value]) =>
+    name.toLowerCase() === "content-type" &&
+    value.startsWith("text/event-stream")
+  );
+}
+
 function isLast(frame: frames.Frame): boolean {
   switch (frame.body.kind) {
     case "end":
--- /dev/null
+++ b/packages/anvilhinge/src/dev/system.ts
@@ -0,0 +1,248 @@
+/**
+ * The whole system on loopback in one process and one loop: the platform's
+ * stand-ins, entries of each half, and all groups of the loaded settings.
+ */
+import type * as random from "@anvilhinge/coordination/random";
+import type * as assignment from "@anvilhinge/coordination/assignment";
+import * as jsonc from "jsonc-parser";
+import * as assignmentCodec from "../adapters/assignment_codec.ts";
+import * as entry from "../entry/mod.ts";
+import type * as instanceList from "../ports/instance_list.ts";
+import type * as objectStore from "../ports/object_store.ts";
+import type * as scheduler from "../ports/scheduler.ts";
+import type * as names from "../settings/names.ts";
+import * as objects from "../settings/objects.ts";
+import type * as process from "../settings/process.ts";
+import * as record from "../settings/record.ts";
+import * as faults from "../stand_ins/faults.ts";
+import * as localObjectStore from "../stand_ins/local_object_store.ts";
+import * as objectApi from "../stand_ins/object_api.ts";
+import * as upstreams from "./upstreams.ts";
+
+/** Where processes would reach the platform; unused within one process. */
+export interface PlatformAddresses {
+  readonly objectStore: string;
+  readonly instanceList: string;
+}
+
+export interface SystemOptions {
+  readonly objects: readonly objects.SettingsObject[];
+  readonly scheduler: scheduler.Scheduler;
+  readonly random: random.RandomSource;
+  /** Ends everything at once. */
+  readonly signal: AbortSignal;
+  /**
+   * Entries that each half runs.
+   * @default 3
+   */
+  readonly entriesPerHalf?: number;
+  /**
+   * Duration of an engine step without load, in milliseconds.
+   * @default 20
+   */
+  readonly stepMs?: number;
+  /** @default "warn" */
+  readonly logLevel?: process.LogLevel;
+  readonly logStream?: NodeJS.WritableStream;
+  readonly operators?: process.EntrySettings["operators"];
+  /** @default 1000 */
+  readonly addressAnswerTtlMs?: number;
+}
+
+/** An entry and the half that it serves. */
+export interface SystemEntry extends entry.RunningEntry {
+  readonly id: string;
+  readonly half: names.Half;
+}
+
+export interface RunningSystem {
+  readonly entries: readonly SystemEntry[];
+  readonly groups: readonly upstreams.RunningGroup[];
+  readonly api: objectApi.ObjectApi;
+  readonly store: objectStore.ObjectStore;
+  /** Faults of the object API. */
+  readonly storeFaults: faults.FaultSwitch;
+  stop(): Promise<void>;
+}
+
+const defaultEntriesPerHalf = 3;
+const defaultStepMs = 20;
+const defaultTtlMs = 1_000;
+const domainCount = 3;
+const localPlatform: PlatformAddresses = {
+  objectStore: "http://127.0.0.1:1",
+  instanceList: "http://127.0.0.1:1",
+};
+
+function listHalves(
+  all: readonly objects.SettingsObject[],
+): readonly names.Half[] {
+  return [...new Set(all.map((object) => object.path.half))].sort();
+}
+
+function listFailureDomains(
+  all: readonly objects.SettingsObject[],
+  half: names.Half,
+): readonly { readonly failureDomain: string; readonly region: string }[] {
+  return all.flatMap(({ path, content }) =>
+    path.half === half && content.kind === "groups" ? content.value.ranks : []
+  ).slice(0, domainCount);
+}
+
+async function startEntries(
+  options: SystemOptions,
+  adapters: entry.EntryAdapters,
+): Promise<readonly SystemEntry[]> {
+  const count = options.entriesPerHalf ?? defaultEntriesPerHalf;
+  const plans = listHalves(options.objects).flatMap((half) => {
+    const domains = listFailureDomains(options.objects, half);
+    return Array.from({ length: count }, (_, index) => {
+      const domain = domains[index % domains.length];
+      return { half, id: `${half}-entry-${index + 1}`, domain };
+    });
+  });
+  return Promise.all(plans.map(async ({ half, id, domain }) => {
+    const running = await entry.startEntry({
+      id,
+      half,
+      address: { host: "127.0.0.1", port: 0 },
+      controlAddress: { host: "127.0.0.1", port: 0 },
+      failureDomain: domain?.failureDomain ?? "local",
+      region: domain?.region ?? "local",
+      platform: localPlatform,
+      addressAnswerTtlMs: options.addressAnswerTtlMs ?? defaultTtlMs,
+      requestBodyLimitBytes: 4 * 1024 * 1024,
+      tracing: { exporter: "none" },
+      log: { level: options.logLevel ?? "warn" },
+      operators: options.operators ?? [],
+    }, adapters);
+    return { ...running, id, half };
+  }));
+}
+
+/** Replaces the agents' addresses in the text of a group. */
+function replaceAgents(
+  text: string,
+  agents: readonly { readonly address: string }[],
+): string {
+  return agents.reduce((changed, agent, rank) => {
+    const path = ["ranks", rank, "agent"];
+    const edits = jsonc.modify(changed, path, agent.address, {});
+    return jsonc.applyEdits(changed, edits);
+  }, text);
+}
+
+function buildRecord(text: string): record.SettingsRecord {
+  const change = {
+    changeId: "initial-settings",
+    author: "dev",
+    at: new Date().toISOString(),
+    previousVersion: 0,
+  };
+  return record.buildRecord(undefined, { text, change });
+}
+
+async function writeObject(
+  store: objectStore.ObjectStore,
+  object: objects.SettingsObject,
+  group: upstreams.RunningGroup | undefined,
+): Promise<void> {
+  const path = objects.formatSettingsPath(object.path);
+  const text = group === undefined
+    ? object.document.text
+    : replaceAgents(object.document.text, group.agents);
+  const condition = { ifVersion: 0 };
+  await store.write(record.formatKey(path), buildRecord(text), condition);
+  if (group === undefined) return;
+  const initial: assignment.Assignment = {
+    group: object.path.name,
+    half: object.path.half,
+    epoch: 1,
+    state: "serving",
+  };
+  const key = `${assignmentCodec.assignmentPrefix}${object.path.name}`;
+  await store.write(key, initial, condition);
+}
+
+function createInstanceList(
+  listEntries: () => readonly SystemEntry[],
+): instanceList.InstanceList {
+  return {
+    list: () =>
+      Promise.resolve({
+        kind: "listed",
+        instances: listEntries().map((running) => ({
+          id: running.id,
+          role: "entry",
+          half: running.half,
+          address: running.address,
+          failureDomain: "local",
+          state: "live",
+        })),
+      }),
+  };
+}
+
+/** Starts the whole system; resolves when the settings are in the store. */
+export async function startSystem(
+  options: SystemOptions,
+): Promise<RunningSystem> {
+  const api = objectApi.createObjectApi();
+  const storeFaults = faults.createFaultSwitch();
+  const store = localObjectStore.createLocalObjectStore(api, {
+    faults: storeFaults,
+    scheduler: options.scheduler,
+  });
+  let entries: readonly SystemEntry[] = [];
+  entries = await startEntries(options, {
+    store,
+    instances: createInstanceList(() => entries),
+    logStream: options.logStream,
+  });
+  const groups: upstreams.RunningGroup[] = [];
+  for (const object of options.objects) {
+    if (object.content.kind !== "groups") continue;
+    groups.push(
+      await upstreams.startGroup({
+        name: object.path.name,
+        group: object.content.value,
+        entries: entries.map((running) => running.controlAddress),
+        scheduler: options.scheduler,
+        random: options.random,
+        signal: options.signal,
+        stepMs: options.stepMs ?? defaultStepMs,
+        logLevel: options.logLevel ?? "warn",
+        logStream: options.logStream,
+        platform: localPlatform,
+      }),
+    );
+  }
+  for (const object of options.objects) {
+    const group = object.path.kind === "groups"
+      ? groups.find((running) => running.name === object.path.name)
+      : undefined;
+    await writeObject(store, object, group);
+  }
+
+  function killAll(): void {
+    for (const running of entries) running.kill();
+    for (const group of groups) {
+      for (const agent of group.agents) agent.kill();
+    }
+  }
+
+  options.signal.addEventListener("abort", killAll, { once: true });
+  return {
+    entries,
+    groups,
+    api,
+    store,
+    storeFaults,
+    async stop() {
+      await Promise.all(entries.map((running) => running.stop()));
+      await Promise.all(
+        groups.flatMap((group) => group.agents.map((agent) => agent.stop())),
+      );
+    },
+  };
+}
--- a/packages/anvilhinge/src/settings/document.ts
+++ b/packages/anvilhinge/src/settings/document.ts
@@ -36,6 +36,8 @@
   | Invalid;
 
 export interface Document {
+  /** Text that was parsed. */
+  readonly text: string;
   readonly value: unknown;
   /** Returns the place of a value, or of its nearest existing parent. */
   locate(path: DocumentPath): Position;
@@ -83,6 +85,7 @@
 
 function createDocument(text: string, root: jsonc.Node): Document {
   return {
+    text,
     value: jsonc.getNodeValue(root),
     locate: (path) => computePosition(text, findNode(root, path).offset),
     locateKey(path, key) {
--- a/packages/anvilhinge/src/settings/names.ts
+++ b/packages/anvilhinge/src/settings/names.ts
@@ -41,7 +41,8 @@
   "Expected an IP number such as 127.0.0.1",
 );
 
-export const port = zod.int().min(1).max(maxPort);
+/** TCP port; 0 lets the system choose. */
+export const port = zod.int().min(0).max(maxPort);
 
 /** IP number and port in one string. */
 export const hostPort = zod.string().refine(
