--- /dev/null
+++ b/packages/anvilhinge/src/cli/outcome.ts
@@ -0,0 +1,64 @@
+/** Outcomes of commands and the exit codes that stand for them. */
+import * as document from "../settings/document.ts";
+
+export type CommandOutcome =
+  | { readonly kind: "done"; readonly text: string; readonly data: unknown }
+  /** The settings were refused, by this command or by the entry. */
+  | {
+    readonly kind: "refused";
+    readonly message: string;
+    readonly problems?: readonly document.Problem[];
+    /** HTTP status when the entry refused. */
+    readonly status?: number;
+  }
+  | { readonly kind: "usage"; readonly message: string }
+  /** Another change came first; nothing took effect. */
+  | {
+    readonly kind: "conflict";
+    readonly message: string;
+    readonly currentVersion?: number;
+  }
+  /** No effect: the entry, or the platform behind it, can't be reached. */
+  | { readonly kind: "unreachable"; readonly message: string }
+  /** The change may have taken effect or may yet do so. */
+  | {
+    readonly kind: "unknown";
+    readonly message: string;
+    readonly changeId?: string;
+  };
+
+/** Exit code of each outcome. */
+export const exitCodes = {
+  done: 0,
+  refused: 1,
+  usage: 2,
+  conflict: 3,
+  unreachable: 4,
+  unknown: 5,
+} as const satisfies Readonly<Record<CommandOutcome["kind"], number>>;
+
+export type ExitCode = typeof exitCodes[CommandOutcome["kind"]];
+
+/** Paragraph of the help page on exit codes. */
+export const exitCodeHelp = `
+Exit codes:
+  0  done
+  1  refused or invalid
+  2  wrong usage
+  3  conflict with another change
+  4  entry or platform unreachable, nothing took effect
+  5  outcome unknown, the change may have taken effect`;
+
+/** Creates the outcome of settings that have problems. */
+export function createProblemOutcome(
+  problems: readonly document.Problem[],
+): CommandOutcome {
+  const message = document.formatProblems(problems);
+  return { kind: "refused", message, problems };
+}
+
+/** Formats an outcome as one line of JSON. */
+export function formatJson(outcome: CommandOutcome): string {
+  if (outcome.kind !== "done") return JSON.stringify(outcome);
+  return JSON.stringify({ kind: "done", data: outcome.data });
+}
--- /dev/null
+++ b/packages/anvilhinge/src/cli/program_test.ts
@@ -0,0 +1,269 @@
+import * as fs from "node:fs/promises";
+import * as os from "node:os";
+import * as nodePath from "node:path";
+import * as client from "./client.ts";
+import * as program from "./program.ts";
+
+const playground = nodePath.join(__dirname, "../../../../playground");
+const objectPath = "/association/drafting/models/drafting";
+const objectFile = nodePath.join(playground, `${objectPath}.jsonc`);
+const entryUrl = "http://127.0.0.1:8080";
+const changeId = "change-1";
+
+interface FakeAnswer {
+  readonly status: number;
+  readonly body?: unknown;
+  readonly etag?: string;
+}
+
+type Handle = (url: string, request: client.HttpRequest) => FakeAnswer | Error;
+
+function createSetup(handle: Handle = () => new Error("No entry")) {
+  const requests: (client.HttpRequest & { readonly url: string })[] = [];
+  const written = { out: "", error: "" };
+  const started: unknown[] = [];
+  const built = program.buildProgram({
+    roles: {
+      runEntry: (settings) => Promise.resolve(void started.push(settings)),
+      runAgent: (settings) => Promise.resolve(void started.push(settings)),
+      runDev: (options) => Promise.resolve(void started.push(options)),
+    },
+    output: {
+      write: (text) => void (written.out += text),
+      writeError: (text) => void (written.error += text),
+    },
+    fetch(url, request) {
+      requests.push({ ...request, url });
+      const answer = handle(url, request);
+      if (answer instanceof Error) return Promise.reject(answer);
+      const { status, body = {}, etag = null } = answer;
+      const text = typeof body === "string" ? body : JSON.stringify(body);
+      return Promise.resolve({
+        status,
+        headers: { get: (name) => name === "etag" ? etag : null },
+        text: () => Promise.resolve(text),
+      });
+    },
+    createChangeId: () => changeId,
+    signal: new AbortController().signal,
+    environment: { ANVILHINGE_ENTRY: entryUrl },
+  });
+  return { run: built.run, requests, written, started };
+}
+
+function createFailure(code: string): Error {
+  return new Error("fetch failed", { cause: { code } });
+}
+
+function createPutHandler(answer: FakeAnswer | Error, change = "unknown") {
+  const handle: Handle = (url, { method }) => {
+    if (method === "PUT") return answer;
+    if (url.includes("/changes/")) {
+      return { status: 200, body: { outcome: change, version: 9 } };
+    }
+    return { status: 200, body: "{}", etag: '"7"' };
+  };
+  return handle;
+}
+
+test("the version that the difference was shown against is the condition", async () => {
+  const accepted = { status: 200, body: { version: 8, changeId } };
+  const setup = createSetup(createPutHandler(accepted));
+  expect(await setup.run(["apply", objectPath, objectFile])).toBe(0);
+  expect(setup.requests[1]).toMatchObject({
+    method: "PUT",
+    url: `${entryUrl}/settings${objectPath}`,
+    headers: { "if-match": '"7"', "change-id": changeId },
+  });
+  expect(setup.written.out).toContain('+   "maxTokens": 4096,');
+  expect(setup.written.out).toContain("as version 8");
+});
+
+test("an object that is missing is created only if still missing", async () => {
+  const setup = createSetup((_, { method }) =>
+    method === "PUT"
+      ? { status: 200, body: { version: 1, changeId } }
+      : { status: 404 }
+  );
+  expect(await setup.run(["apply", objectPath, objectFile])).toBe(0);
+  expect(setup.requests[1]?.headers).toMatchObject({ "if-none-match": "*" });
+});
+
+const conflict = {
+  status: 412,
+  body: {
+    error: { code: "conflict", message: "Changed" },
+    current: { version: 8 },
+  },
+};
+
+test.each<[string, FakeAnswer | Error, string, number]>([
+  ["refused", { status: 403 }, "unknown", 1],
+  ["conflict", conflict, "unknown", 3],
+  ["unavailable", { status: 503 }, "unknown", 4],
+  ["no connection", createFailure("ECONNREFUSED"), "unknown", 4],
+  ["lost answer", createFailure("ECONNRESET"), "unknown", 5],
+  [
+    "lost answer of an accepted change",
+    createFailure("ECONNRESET"),
+    "accepted",
+    0,
+  ],
+  [
+    "lost answer of a refused change",
+    createFailure("ECONNRESET"),
+    "not_accepted",
+    1,
+  ],
+  [
+    "unknown outcome",
+    { status: 202, body: { outcome: "unknown", changeId } },
+    "unknown",
+    5,
+  ],
+  ["fault of the entry", { status: 500 }, "unknown", 5],
+])("apply reports its outcome: %s", async (_, answer, change, exitCode) => {
+  const setup = createSetup(createPutHandler(answer, change));
+  const args = ["apply", objectPath, objectFile, "--json"];
+  expect(await setup.run(args)).toBe(exitCode);
+  const line = JSON.parse(setup.written.out);
+  expect(line.kind).toBe(
+    [
+      "done",
+      "refused",
+      "usage",
+      "conflict",
+      "unreachable",
+      "unknown",
+    ][exitCode],
+  );
+  if (exitCode === 3) expect(line.currentVersion).toBe(8);
+  if (exitCode === 5) expect(line.changeId).toBe(changeId);
+});
+
+test("a dry run and an older expected version write nothing", async () => {
+  const setup = createSetup(createPutHandler({ status: 200 }));
+  const args = ["apply", objectPath, objectFile];
+  expect(await setup.run([...args, "--dry-run"])).toBe(0);
+  expect(await setup.run([...args, "--if-version", "6"])).toBe(3);
+  expect(setup.requests.map(({ method }) => method)).toEqual(["GET", "GET"]);
+});
+
+test("an expected version that the entry has not seen yet is the condition", async () => {
+  const setup = createSetup(createPutHandler({ status: 200 }));
+  const args = ["apply", objectPath, objectFile, "--if-version", "9"];
+  expect(await setup.run(args)).toBe(0);
+  expect(setup.requests[1]?.headers).toMatchObject({ "if-match": '"9"' });
+});
+
+test.each([
+  [["get", objectPath], "GET", `/settings${objectPath}`, undefined],
+  [["get", "/association/"], "GET", "/settings/association/", undefined],
+  [["history", objectPath], "GET", `/settings${objectPath}?history`, undefined],
+  [["move", "g", "--to", "water_board"], "POST", "/moves", {
+    group: "g",
+    to: "water_board",
+  }],
+  [["drain", "entry-1"], "POST", "/drains", { instance: "entry-1" }],
+  [["status"], "GET", "/status", undefined],
+  [["status", "--maps"], "GET", "/status?maps", undefined],
+])("%j sends its request", async (args, method, path, order) => {
+  const setup = createSetup(() => ({ status: 200, etag: '"7"' }));
+  expect(await setup.run(args)).toBe(0);
+  const [request] = setup.requests;
+  expect(request).toMatchObject({ method, url: entryUrl + path });
+  expect(request?.body).toBe(order && JSON.stringify(order));
+});
+
+test.each([
+  [[]],
+  [["unknown"]],
+  [["get"]],
+  [["get", "/association/drafting"]],
+  [["get", objectPath, "surplus"]],
+  [["get", objectPath, "--entry", "127.0.0.1:8080"]],
+  [["move", "g", "--to", "nobody"]],
+  [["apply", objectPath, objectFile, "--if-version", "x"]],
+  [["entry"]],
+])("wrong usage is refused before any request: %j", async (args) => {
+  const setup = createSetup();
+  expect(await setup.run(args)).toBe(2);
+  expect(setup.written.error).not.toBe("");
+  expect(setup.requests).toEqual([]);
+});
+
+test("the help page names the exit codes", async () => {
+  const setup = createSetup();
+  expect(await setup.run(["--help"])).toBe(0);
+  expect(setup.written.out).toContain("5  outcome unknown");
+});
+
+describe("files", () => {
+  let folder: string;
+
+  beforeEach(async () => {
+    folder = await fs.mkdtemp(nodePath.join(os.tmpdir(), "anvilhinge-"));
+  });
+
+  afterEach(() => fs.rm(folder, { recursive: true }));
+
+  async function writeText(name: string, text: string): Promise<string> {
+    const file = nodePath.join(folder, name);
+    await fs.mkdir(nodePath.dirname(file), { recursive: true });
+    await fs.writeFile(file, text);
+    return file;
+  }
+
+  test("the token is sent as a bearer token", async () => {
+    const file = await writeText("token", "secret\n");
+    const setup = createSetup(() => ({ status: 200 }));
+    expect(await setup.run(["status", "--token-file", file])).toBe(0);
+    expect(setup.requests[0]?.headers)
+      .toEqual({ authorization: "Bearer secret" });
+  });
+
+  test("check accepts both playgrounds and locates problems", async () => {
+    const setup = createSetup();
+    const folders = ["association", "water_board"].map((name) =>
+      nodePath.join(playground, name)
+    );
+    expect(await setup.run(["check", ...folders, objectFile])).toBe(0);
+    const wrong = await writeText(
+      "association/a/models/m.jsonc",
+      '{\n  "maxToken": 1\n}',
+    );
+    expect(await setup.run(["check", wrong])).toBe(1);
+    expect(setup.written.error).toContain(
+      `${wrong}:2:3: maxToken: Unknown key "maxToken"`,
+    );
+    expect(await setup.run(["check", `${wrong}-missing`])).toBe(1);
+  });
+
+  test("an object with problems is refused before any request", async () => {
+    const file = await writeText("m.jsonc", "{}");
+    const setup = createSetup();
+    expect(await setup.run(["apply", objectPath, file])).toBe(1);
+    expect(setup.requests).toEqual([]);
+  });
+
+  test("a role starts only with valid settings", async () => {
+    const agent = {
+      ...{ id: "agent-1", group: "g", rank: 0, entries: ["127.0.0.1:1"] },
+      ...{ failureDomain: "milan_a", region: "lombardy" },
+      address: { host: "127.0.0.1", port: 9000 },
+      platform: { objectStore: entryUrl, instanceList: entryUrl },
+      engine: { url: entryUrl, kind: "model" },
+    };
+    const file = await writeText("agent.jsonc", JSON.stringify(agent));
+    const setup = createSetup();
+    expect(await setup.run(["check", file])).toBe(0);
+    expect(await setup.run(["agent", "--settings", file])).toBe(0);
+    expect(setup.started).toMatchObject([{ id: "agent-1" }]);
+    expect(await setup.run(["entry", "--settings", file])).toBe(1);
+    expect(await setup.run(["dev", "--playground", "association"])).toBe(0);
+    expect(setup.started).toMatchObject([
+      { id: "agent-1" },
+      { playground: "association" },
+    ]);
+  });
+});
