--- /dev/null
+++ b/packages/anvilhinge/src/adapters/instance_list_http.ts
@@ -0,0 +1,3 @@
+export function createHttpInstanceList(_o: unknown): any {
+  return {};
+}
--- /dev/null
+++ b/packages/anvilhinge/src/adapters/object_store_http.ts
@@ -0,0 +1,3 @@
+export function createHttpObjectStore(_o: unknown): any {
+  return {};
+}
--- a/packages/anvilhinge/src/agent/service.ts
+++ b/packages/anvilhinge/src/agent/service.ts
@@ -186,9 +186,9 @@
         deliver(event);
         return;
       case "data":
-        deliverData(splitter === undefined
-          ? event.data
-          : splitter.push(event.data));
+        deliverData(
+          splitter === undefined ? event.data : splitter.push(event.data),
+        );
         return;
       case "end":
         deliverData(splitter?.flush());
--- /dev/null
+++ b/packages/anvilhinge/src/dev/mod.ts
@@ -0,0 +1,73 @@
+/** The dev role: the whole system with stand-ins, on embedded defaults. */
+import * as nodeCrypto from "node:crypto";
+import * as nodePath from "node:path";
+import * as random from "@anvilhinge/coordination/random";
+import * as systemScheduler from "../adapters/system_scheduler.ts";
+import * as document from "../settings/document.ts";
+import * as playground from "../settings/playground.ts";
+import * as playgroundFolder from "./playground_folder.ts";
+import * as system from "./system.ts";
+
+export interface DevOptions {
+  /** Half whose playground is started; both when undefined. */
+  readonly playground?: string;
+  /** Stops the system gracefully. */
+  readonly signal: AbortSignal;
+  /** Takes the text meant for a person. */
+  readonly output: { write(text: string): void };
+}
+
+/** Token that the dev system accepts from operators of every team. */
+export const devToken = "dev-token";
+
+/** Starts the system, prints its addresses, and runs until the signal. */
+export async function runDev(options: DevOptions): Promise<void> {
+  const root = playgroundFolder.findPlaygroundFolder(process.cwd()) ??
+    playgroundFolder.findPlaygroundFolder(__dirname);
+  if (root === undefined) {
+    throw new Error(
+      "Folder playground was not found; run from a checkout of the project",
+    );
+  }
+  const folder = options.playground === undefined
+    ? root
+    : nodePath.join(root, options.playground);
+  const loaded = await playground.loadPlayground(folder);
+  if (loaded.kind === "invalid") {
+    throw new Error(document.formatProblems(loaded.problems));
+  }
+  const subtrees = [
+    ...new Set(loaded.settings.map(({ path }) => `/${path.half}/${path.team}`)),
+  ];
+  function print(line: string): void {
+    options.output.write(`${line}\n`);
+  }
+
+  const abort = new AbortController();
+  const running = await system.startSystem({
+    objects: loaded.settings,
+    scheduler: systemScheduler.createSystemScheduler(),
+    random: random.createRandomSource(nodeCrypto.randomInt(2 ** 31)),
+    signal: abort.signal,
+    operators: [{
+      name: "dev",
+      tokenSha256: nodeCrypto.createHash("sha256").update(devToken)
+        .digest("hex"),
+      subtrees,
+    }],
+  });
+  for (const entry of running.entries) {
+    print(`${entry.id} serves http://${entry.address}`);
+  }
+  for (const group of running.groups) {
+    print(`${group.name} runs ${group.agents.length} upstreams`);
+  }
+  print(`Operators' token: ${devToken}`);
+  if (!options.signal.aborted) {
+    await new Promise((resolve) =>
+      options.signal.addEventListener("abort", resolve, { once: true })
+    );
+  }
+  await running.stop();
+  abort.abort();
+}
--- /dev/null
+++ b/packages/anvilhinge/src/dev/system_test.ts
@@ -0,0 +1,124 @@
+import * as nodePath from "node:path";
+import * as random from "@anvilhinge/coordination/random";
+import * as undici from "undici";
+import * as systemScheduler from "../adapters/system_scheduler.ts";
+import * as playground from "../settings/playground.ts";
+import * as answer from "../stand_ins/answer.ts";
+import * as caller from "./caller.ts";
+import * as system from "./system.ts";
+
+const root = nodePath.join(__dirname, "../../../../playground");
+
+async function startPlayground(signal: AbortSignal) {
+  const loaded = await playground.loadPlayground(root);
+  if (loaded.kind === "invalid") throw new Error(loaded.problems[0]?.message);
+  return system.startSystem({
+    objects: loaded.settings,
+    scheduler: systemScheduler.createSystemScheduler(),
+    random: random.createRandomSource(1),
+    signal,
+    stepMs: 1,
+    addressAnswerTtlMs: 100,
+    logLevel: "error",
+  });
+}
+
+function buildChat(content: string) {
+  return { model: "drafting", messages: [{ role: "user", content }] };
+}
+
+describe("a system on loopback", () => {
+  const abort = new AbortController();
+  let running: system.RunningSystem;
+  let address: string;
+
+  beforeAll(async () => {
+    running = await startPlayground(abort.signal);
+    address = running.entries.find((entry) => entry.half === "association")!
+      .address;
+    await expect(waitForAnswer(address)).resolves.toBe("complete");
+  });
+
+  afterAll(async () => {
+    await running.stop();
+    abort.abort();
+  });
+
+  async function waitForAnswer(at: string): Promise<string> {
+    for (let attempt = 0; attempt < 100; attempt += 1) {
+      const outcome = await caller.sendChat({
+        address: at,
+        workspace: "drafting/milan",
+        body: buildChat("first"),
+      });
+      if (outcome.kind === "complete") return outcome.kind;
+      await new Promise((resolve) => setTimeout(resolve, 50));
+    }
+    return "no answer";
+  }
+
+  test("a streamed answer is whole and the caller's own", async () => {
+    const outcomes = await Promise.all(
+      Array.from({ length: 20 }, (_, index) =>
+        caller.sendChat({
+          address,
+          workspace: "drafting/milan",
+          body: buildChat(`minutes ${index}`),
+        })),
+    );
+    for (const [index, outcome] of outcomes.entries()) {
+      expect(outcome).toMatchObject({
+        kind: "complete",
+        tokens: answer.describeAnswer(buildChat(`minutes ${index}`)),
+      });
+    }
+  });
+
+  test("an unknown workspace and an unknown model are named", async () => {
+    const body = buildChat("agenda");
+    const first = await caller.sendChat({
+      address,
+      workspace: "drafting/nowhere",
+      body,
+    });
+    expect(first).toMatchObject({ status: 400, code: "unknown_workspace" });
+    const second = await caller.sendChat({
+      address,
+      workspace: "drafting/milan",
+      body: { ...body, model: "none" },
+    });
+    expect(second).toMatchObject({ status: 400, code: "unknown_model" });
+  });
+
+  test("a service call reaches the service once", async () => {
+    const response = await undici.request(
+      `http://${address}/services/registry/filings`,
+      {
+        method: "POST",
+        headers: {
+          "x-workspace": "drafting/milan",
+          "content-type": "application/json",
+        },
+        body: JSON.stringify({
+          businessId: "filing-1",
+          recordId: "minutes-1",
+          text: "resolution",
+        }),
+      },
+    );
+    expect(response.statusCode).toBe(201);
+    await response.body.dump();
+    const entries = running.groups.flatMap((group) =>
+      group.service?.getLedger() ?? []
+    );
+    expect(entries.filter((entry) => entry.filing.businessId === "filing-1"))
+      .toHaveLength(1);
+  });
+
+  test("addresses name live entries of the half", async () => {
+    const own = running.entries.filter((entry) => entry.half === "association")
+      .map((entry) => entry.address);
+    const addresses = await caller.fetchAddresses(address, "drafting/milan");
+    expect([...addresses].sort()).toEqual([...own].sort());
+  });
+});
--- a/packages/anvilhinge/src/dev/upstreams.ts
+++ b/packages/anvilhinge/src/dev/upstreams.ts
@@ -58,14 +58,16 @@
     stepMs: options.stepMs,
   });
   const switches = Array.from({ length: rankCount }, faults.createFaultSwitch);
-  const addresses = await Promise.all(switches.map((faultSwitch, rank) =>
-    modelEngineHttp.createModelEngineHttp({
-      engine,
-      rank,
-      faults: faultSwitch,
-      scheduler: options.scheduler,
-    }).listen({ ...listenOptions, signal: options.signal })
-  ));
+  const addresses = await Promise.all(
+    switches.map((faultSwitch, rank) =>
+      modelEngineHttp.createModelEngineHttp({
+        engine,
+        rank,
+        faults: faultSwitch,
+        scheduler: options.scheduler,
+      }).listen({ ...listenOptions, signal: options.signal })
+    ),
+  );
   const urls = addresses.map((address) => `http://${address}`);
   return { engine, urls, faults: switches };
 }
@@ -87,24 +89,26 @@
   const standIn = group.kind === "model"
     ? await startModel(options, group.ranks.length)
     : await startService(options);
-  const agents = await Promise.all(group.ranks.map((rank, index) =>
-    agent.startAgent({
-      id: `${name}-${index}`,
-      group: name,
-      rank: index,
-      address: listenOptions,
-      failureDomain: rank.failureDomain,
-      region: rank.region,
-      entries: options.entries,
-      platform: options.platform,
-      engine: {
-        url: standIn.urls[index] ?? "",
-        kind: group.kind,
-        checksFencing: true,
-      },
-      tracing: { exporter: "none" },
-      log: { level: options.logLevel },
-    }, { logStream: options.logStream })
-  ));
+  const agents = await Promise.all(
+    group.ranks.map((rank, index) =>
+      agent.startAgent({
+        id: `${name}-${index}`,
+        group: name,
+        rank: index,
+        address: listenOptions,
+        failureDomain: rank.failureDomain,
+        region: rank.region,
+        entries: options.entries,
+        platform: options.platform,
+        engine: {
+          url: standIn.urls[index] ?? "",
+          kind: group.kind,
+          checksFencing: true,
+        },
+        tracing: { exporter: "none" },
+        log: { level: options.logLevel },
+      }, { logStream: options.logStream })
+    ),
+  );
   return { name, agents, ...standIn };
 }
