--- /dev/null
+++ b/packages/anvilhinge/src/cli/builder.ts
@@ -0,0 +1,83 @@
+/** What the commands of the command line share. */
+import * as fs from "node:fs/promises";
+import type * as commander from "commander";
+import type * as process from "../settings/process.ts";
+import type * as client from "./client.ts";
+import type * as outcome from "./outcome.ts";
+
+/** Takes text for the terminal; the text has its own line ends. */
+export interface Output {
+  write(text: string): void;
+  writeError(text: string): void;
+}
+
+export interface RunOptions {
+  /** Asks the role for a graceful shutdown. */
+  readonly signal: AbortSignal;
+}
+
+export interface DevOptions extends RunOptions {
+  /** Playground to load; undefined for the default of the role. */
+  readonly playground: string | undefined;
+  readonly output: Output;
+}
+
+/** What the daemon can run as; each resolves after its graceful shutdown. */
+export interface Roles {
+  runEntry(
+    settings: process.EntrySettings,
+    options: RunOptions,
+  ): Promise<void>;
+  runAgent(
+    settings: process.AgentSettings,
+    options: RunOptions,
+  ): Promise<void>;
+  runDev(options: DevOptions): Promise<void>;
+}
+
+export interface ProgramOptions {
+  readonly roles: Roles;
+  readonly output: Output;
+  readonly fetch: client.HttpFetch;
+  /** Creates the id of a change. */
+  readonly createChangeId: () => string;
+  /** Asks for a graceful shutdown. */
+  readonly signal: AbortSignal;
+  /** Environment variables. */
+  readonly environment: Readonly<Record<string, string | undefined>>;
+}
+
+/** Options that several commands have. */
+export interface CommonOptions {
+  readonly entry?: string;
+  readonly tokenFile?: string;
+  readonly json?: boolean;
+}
+
+/** Work of one command. */
+export type Work = () => Promise<outcome.CommandOutcome>;
+
+/** Settles one command: reports its outcome and keeps the exit code. */
+export type Settle = (work: Work, options?: CommonOptions) => Promise<void>;
+
+/** What a command is added to, and how its outcome is settled. */
+export interface Builder {
+  readonly program: commander.Command;
+  readonly options: ProgramOptions;
+  readonly settle: Settle;
+}
+
+/** Text of a file, or why it can't be read. */
+export type FileOutcome =
+  | { readonly kind: "read"; readonly text: string }
+  | (outcome.CommandOutcome & { readonly kind: "refused" });
+
+/** Reads a text file. */
+export async function readText(file: string): Promise<FileOutcome> {
+  try {
+    return { kind: "read", text: await fs.readFile(file, "utf8") };
+  } catch (error) {
+    const reason = (error as Error).message;
+    return { kind: "refused", message: `${file}: Can't be read: ${reason}` };
+  }
+}
--- a/packages/anvilhinge/src/cli/program_test.ts
+++ b/packages/anvilhinge/src/cli/program_test.ts
@@ -237,6 +237,9 @@
       `${wrong}:2:3: maxToken: Unknown key "maxToken"`,
     );
     expect(await setup.run(["check", `${wrong}-missing`])).toBe(1);
+    const empty = nodePath.join(folder, "empty");
+    await fs.mkdir(empty);
+    expect(await setup.run(["check", empty])).toBe(1);
   });
 
   test("an object with problems is refused before any request", async () => {
--- /dev/null
+++ b/packages/anvilhinge/src/cli/role_commands.ts
@@ -0,0 +1,81 @@
+/** Commands that run a role of the daemon or check its settings. */
+import type * as document from "../settings/document.ts";
+import * as process from "../settings/process.ts";
+import * as builder from "./builder.ts";
+import * as check from "./check.ts";
+import * as outcome from "./outcome.ts";
+
+interface CheckedFile<Settings> {
+  readonly file: string;
+  readonly resolve: (
+    text: string,
+    options: document.DocumentOptions,
+  ) => document.CheckOutcome<Settings>;
+  readonly run: (settings: Settings) => Promise<void>;
+}
+
+const finished: outcome.CommandOutcome = { kind: "done", text: "", data: null };
+
+async function runRole<Settings>(
+  { file, resolve, run }: CheckedFile<Settings>,
+): Promise<outcome.CommandOutcome> {
+  const read = await builder.readText(file);
+  if (read.kind !== "read") return read;
+  const checked = resolve(read.text, { file });
+  if (checked.kind === "invalid") {
+    return outcome.createProblemOutcome(checked.problems);
+  }
+  await run(checked.settings);
+  return finished;
+}
+
+/** Adds `entry`, `agent` and `dev`. */
+export function addRoleCommands(
+  { program, options, settle }: builder.Builder,
+): void {
+  const { roles, signal, output } = options;
+  program.command("entry")
+    .description("Run an entry until it is asked to stop")
+    .requiredOption("--settings <file>", "Settings of the entry")
+    .action(({ settings: file }: { settings: string }) =>
+      settle(() =>
+        runRole({
+          file,
+          resolve: process.resolveEntrySettings,
+          run: (settings) => roles.runEntry(settings, { signal }),
+        })
+      )
+    );
+  program.command("agent")
+    .description("Run the agent of one upstream until it is asked to stop")
+    .requiredOption("--settings <file>", "Settings of the agent")
+    .action(({ settings: file }: { settings: string }) =>
+      settle(() =>
+        runRole({
+          file,
+          resolve: process.resolveAgentSettings,
+          run: (settings) => roles.runAgent(settings, { signal }),
+        })
+      )
+    );
+  program.command("dev")
+    .description("Run the whole system on loopback in one process")
+    .option("--playground <name>", "Playground to load")
+    .action(({ playground }: { playground?: string }) =>
+      settle(async () => {
+        await roles.runDev({ playground, signal, output });
+        return finished;
+      })
+    );
+}
+
+/** Adds `check`. */
+export function addCheckCommand({ program, settle }: builder.Builder): void {
+  program.command("check")
+    .description("Check settings offline; a folder holds whole subtrees")
+    .argument("<file...>", "Settings of entries, agents, objects or folders")
+    .option("--json", "Print the outcome as one line of JSON")
+    .action((files: readonly string[], common: builder.CommonOptions) =>
+      settle(() => check.checkPaths(files), common)
+    );
+}
--- a/packages/anvilhinge/src/settings/document.ts
+++ b/packages/anvilhinge/src/settings/document.ts
@@ -192,6 +192,27 @@
   }));
 }
 
+function getValue(value: unknown, path: DocumentPath): unknown {
+  return path.reduce<unknown>(
+    (parent, key) => (parent as Record<string, unknown> | undefined)?.[key],
+    value,
+  );
+}
+
+function describeIssue(
+  issue: zod.core.$ZodIssue,
+  value: unknown,
+): { readonly message: string; readonly hint?: string } {
+  if (value === undefined && issue.code.startsWith("invalid_")) {
+    return { message: `Key "${String(issue.path.at(-1))}" is missing` };
+  }
+  if (issue.code === "invalid_value" && typeof value === "string") {
+    const hint = describeKnownNames(value, issue.values.map(String));
+    return { message: `Unknown value "${value}"`, hint };
+  }
+  return { message: issue.message };
+}
+
 /** Checks a parsed document against a schema. */
 export function checkDocument<Schema extends zod.ZodType>(
   document: Document,
@@ -204,7 +225,8 @@
       return listUnknownKeys(document, { issue, file, schema });
     }
     const path = issue.path as DocumentPath;
-    return [createProblem(document, { file, path, message: issue.message })];
+    const description = describeIssue(issue, getValue(document.value, path));
+    return [createProblem(document, { file, path, ...description })];
   });
   return { kind: "invalid", problems };
 }
--- a/packages/anvilhinge/src/settings/playground.ts
+++ b/packages/anvilhinge/src/settings/playground.ts
@@ -34,6 +34,12 @@
   return [...grouped.values()];
 }
 
+function refuseEmptyFolder(folder: string): document.Invalid {
+  const message = `The folder holds no ${fileExtension} files`;
+  const place = { file: folder, line: 1, column: 1, path: "" };
+  return { kind: "invalid", problems: [{ ...place, message, hint: "" }] };
+}
+
 /**
  * Loads all files `<half>/<team>/<kind>/<name>.jsonc` in or below a folder and
  * checks each subtree by itself. Rejects when the folder can't be read.
@@ -43,6 +49,7 @@
 ): Promise<subtree.SubtreeOutcome> {
   const names = await fs.readdir(folder, { recursive: true });
   const files = names.filter((name) => name.endsWith(fileExtension)).sort();
+  if (files.length === 0) return refuseEmptyFolder(folder);
   const sources = await Promise.all(
     files.map((name) => readObjectSource(nodePath.join(folder, name))),
   );
--- a/packages/anvilhinge/src/settings/process_test.ts
+++ b/packages/anvilhinge/src/settings/process_test.ts
@@ -54,6 +54,17 @@
     .toEqual([true]);
 });
 
+test("a missing key and an unknown value are named", () => {
+  expect(resolveEntry({ half: "asociation", region: undefined })).toMatchObject(
+    {
+      problems: [
+        { path: "half", hint: 'Did you mean "association"?' },
+        { path: "region", message: 'Key "region" is missing', line: 1 },
+      ],
+    },
+  );
+});
+
 test("agent settings name entries by IP number", () => {
   const agent = {
     ...{ id: "agent-1", group: "g", rank: 0, platform },
