--- a/packages/anvilhinge/src/adapters/instance_list_http.ts
+++ /dev/null
@@ -1,3 +0,0 @@
-export function createHttpInstanceList(_o: unknown): any {
-  return {};
-}
--- a/packages/anvilhinge/src/adapters/object_store_http.ts
+++ /dev/null
@@ -1,3 +0,0 @@
-export function createHttpObjectStore(_o: unknown): any {
-  return {};
-}
