--- a/packages/anvilhinge/src/adapters/http_client.ts
+++ b/packages/anvilhinge/src/adapters/http_client.ts
@@ -21,11 +21,18 @@
 
 /** Tells whether the connection was refused, so that nothing was sent. */
 export function isRefused(error: unknown): boolean {
-  return error instanceof Error && "code" in error &&
-    error.code === "ECONNREFUSED";
+  return readField(error, "code") === "ECONNREFUSED";
 }
 
 /** Returns the text of an error of the client library. */
 export function describeError(error: unknown): string {
-  return error instanceof Error ? error.message : String(error);
+  return readField(error, "message") || readField(error, "code") ||
+    String(error);
+}
+
+/** Does without `instanceof`, which fails for errors of another realm. */
+function readField(error: unknown, name: "code" | "message"): string {
+  if (typeof error !== "object" || error === null) return "";
+  const value: unknown = Reflect.get(error, name);
+  return typeof value === "string" ? value : "";
 }
