--- a/packages/anvilhinge/src/stand_ins/http_server.ts
+++ b/packages/anvilhinge/src/stand_ins/http_server.ts
@@ -116,6 +116,15 @@
   }
 }
 
+/** Decodes the rest of a path; returns nothing when its encoding is broken. */
+export function decodePath(text: string): string | undefined {
+  try {
+    return decodeURIComponent(text);
+  } catch {
+    return undefined;
+  }
+}
+
 function listen(
   server: http.Server,
   options: ListenOptions & ServerOptions,
--- a/packages/anvilhinge/src/stand_ins/plain_service_http.ts
+++ b/packages/anvilhinge/src/stand_ins/plain_service_http.ts
@@ -30,7 +30,8 @@
 ): httpServer.HttpAnswer {
   const { method, path } = request;
   if (method === "GET" && path.startsWith(recordsPath)) {
-    const id = decodeURIComponent(path.slice(recordsPath.length));
+    const id = httpServer.decodePath(path.slice(recordsPath.length));
+    if (id === undefined) return httpServer.encodeError(400, "Bad identifier");
     return httpServer.encodeJson(200, service.readRecord(id));
   }
   if (method === "GET" && path === "/ledger") {
