--- a/packages/anvilhinge/src/adapters/engine_http_test.ts
+++ b/packages/anvilhinge/src/adapters/engine_http_test.ts
@@ -172,6 +172,13 @@
     expect((await post(order)).head?.status).toBe(200);
     expect((await post(old)).head?.status).toBe(409);
     expect(engine.readOrders(0).role).toBe("prefill");
+    const events = await send(client, {
+      method: "GET",
+      path: "/events?since=0",
+    });
+    expect(JSON.parse(events.text)).toEqual({ events: [] });
+    const orders = await send(client, { method: "GET", path: "/orders" });
+    expect(JSON.parse(orders.text)).toMatchObject({ highestFencingNumber: 2 });
   });
 
   test("tells that nothing started only when the connection is refused", async () => {
--- a/packages/anvilhinge/src/stand_ins/engine_orders.ts
+++ b/packages/anvilhinge/src/stand_ins/engine_orders.ts
@@ -35,6 +35,8 @@
   | { readonly kind: "done" }
   /** The rank has seen a higher fencing number. */
   | { readonly kind: "fenced"; readonly highestFencingNumber: number }
+  /** The order does not fit the group. */
+  | { readonly kind: "invalid"; readonly message: string }
   | { readonly kind: "crashed" };
 
 /** What a rank has in force. */
@@ -66,6 +68,25 @@
   return { kind: "invalid", message: zod.prettifyError(result.error) };
 }
 
+export interface GroupSize {
+  readonly expertCount: number;
+  readonly rankCount: number;
+}
+
+/** Returns why a map does not fit a group, if so. */
+export function checkMap(
+  { holders }: MapOrder,
+  { expertCount, rankCount }: GroupSize,
+): string | undefined {
+  if (holders.length !== expertCount) {
+    return `Map has ${holders.length} experts; the group has ${expertCount}`;
+  }
+  const ranks = holders.flat();
+  const unknownRank = ranks.find((rank) => rank >= rankCount);
+  if (unknownRank === undefined) return undefined;
+  return `Map names rank ${unknownRank}; the group has ${rankCount} ranks`;
+}
+
 /** Applies an order; with `checksFencing` an old fencing number is refused. */
 export function applyOrder(
   state: OrderState,
--- a/packages/anvilhinge/src/stand_ins/http_server.ts
+++ b/packages/anvilhinge/src/stand_ins/http_server.ts
@@ -78,7 +78,8 @@
 export function createServer(options: ServerOptions): StandInServer {
   const server = http.createServer((incoming, response) => {
     serve({ ...options, incoming, response }).catch((error: unknown) => {
-      response.destroy(error instanceof Error ? error : undefined);
+      if (response.headersSent) response.destroy();
+      else sendAnswer(response, encodeError(500, String(error)));
     });
   });
   return {
--- a/packages/anvilhinge/src/stand_ins/model_engine.ts
+++ b/packages/anvilhinge/src/stand_ins/model_engine.ts
@@ -125,7 +125,9 @@
     const load = { map, ranks: slots, tokensByExpert, costs };
     const rankMs = expertStep.computeRankTimes(load);
     const startMs = timers.now();
-    const finish = () => finishStep({ startMs, rankMs, tokensByExpert });
+    const mapVersion = map.version;
+    const step = { startMs, mapVersion, rankMs, tokensByExpert };
+    const finish = () => finishStep(step);
     timers.schedule(finish, { delayMs: Math.max(...rankMs) });
   }
 
@@ -139,6 +141,7 @@
 
   interface Step {
     readonly startMs: number;
+    readonly mapVersion: number;
     readonly rankMs: readonly number[];
     readonly tokensByExpert: readonly number[];
   }
@@ -158,12 +161,14 @@
     startStep();
   }
 
-  function recordStep({ startMs, rankMs, tokensByExpert }: Step): void {
+  function recordStep(
+    { startMs, mapVersion, rankMs, tokensByExpert }: Step,
+  ): void {
     tokensByExpert.forEach((count, expert) => totals[expert]! += count);
     steps.set({
       stepCount: steps.getCurrent().stepCount + 1,
       durationUs: Math.round((timers.now() - startMs) * 1_000),
-      mapVersion: map.version,
+      mapVersion,
       rankUs: rankMs.map((durationMs) => Math.round(durationMs * 1_000)),
       tokensByExpert: [...totals],
     });
@@ -204,6 +209,10 @@
     order(rank, order) {
       const slot = getSlot(rank);
       if (slot.crashed) return { kind: "crashed" };
+      const message = order.kind === "install_map"
+        ? engineOrders.checkMap(order, options)
+        : undefined;
+      if (message !== undefined) return { kind: "invalid", message };
       const result = engineOrders.applyOrder(slot.orders, order, options);
       slot.orders = result.state;
       switchMap();
--- a/packages/anvilhinge/src/stand_ins/model_engine_http.ts
+++ b/packages/anvilhinge/src/stand_ins/model_engine_http.ts
@@ -76,6 +76,8 @@
       return httpServer.encodeJson(200, outcome);
     case "fenced":
       return httpServer.encodeJson(409, outcome);
+    case "invalid":
+      return httpServer.encodeError(400, outcome.message);
     case "crashed":
       return httpServer.encodeJson(503, outcome);
   }
--- a/packages/anvilhinge/src/stand_ins/model_engine_options.ts
+++ b/packages/anvilhinge/src/stand_ins/model_engine_options.ts
@@ -77,9 +77,12 @@
   checksFencing: true,
 } as const;
 
-/** Fills in the defaults. */
+/** Fills in the defaults, also for options that are given as undefined. */
 export function resolveOptions(
   options: ModelEngineOptions,
 ): Required<ModelEngineOptions> {
-  return { ...defaults, ...options };
+  const given = Object.entries(options)
+    .filter(([_name, value]) => value !== undefined);
+  const named = Object.fromEntries(given) as unknown as ModelEngineOptions;
+  return { ...defaults, ...named };
 }
--- a/packages/anvilhinge/src/stand_ins/model_engine_test.ts
+++ b/packages/anvilhinge/src/stand_ins/model_engine_test.ts
@@ -206,6 +206,28 @@
     expect(lax.readOrders(0).role).toBe("old");
   });
 
+  test("changes the map once all ranks have it and refuses one that misfits", () => {
+    const { scheduler, engine } = createGroup({ reportLagMs: 0 });
+    const order = (rank: number, holders: number[][]) =>
+      engine.order(rank, {
+        kind: "install_map",
+        fencingNumber: 1,
+        version: 7,
+        holders,
+      });
+    expect(order(0, [[0], [1], [0]]).kind).toBe("invalid");
+    expect(order(0, [[0], [1], [0], [2]]).kind).toBe("invalid");
+    expect(order(0, [[0], [1], [0], [1]]).kind).toBe("done");
+    send(engine, { body: createBody("long", 8) });
+    scheduler.advance(20);
+    expect(engine.readStep().mapVersion).toBe(0);
+    order(1, [[0], [1], [0], [1]]);
+    scheduler.advance(20);
+    expect(engine.readStep().mapVersion).toBe(0);
+    scheduler.advance(20);
+    expect(engine.readStep().mapVersion).toBe(7);
+  });
+
   test("fails the work of a crashed rank and holds the group without its experts", () => {
     const { scheduler, engine } = createGroup();
     const lost = send(engine, { rank: 1 });
