--- a/packages/anvilhinge/src/stand_ins/http_server.ts
+++ b/packages/anvilhinge/src/stand_ins/http_server.ts
@@ -78,7 +78,8 @@
 export function createServer(options: ServerOptions): StandInServer {
   const server = http.createServer((incoming, response) => {
     serve({ ...options, incoming, response }).catch((error: unknown) => {
-      response.destroy(error instanceof Error ? error : undefined);
+      if (response.headersSent) response.destroy();
+      else sendAnswer(response, encodeError(500, String(error)));
     });
   });
   return {
@@ -116,6 +117,15 @@
   }
 }
 
+/** Decodes the rest of a path; returns nothing when its encoding is broken. */
+export function decodePath(text: string): string | undefined {
+  try {
+    return decodeURIComponent(text);
+  } catch {
+    return undefined;
+  }
+}
+
 function listen(
   server: http.Server,
   options: ListenOptions & ServerOptions,
