--- a/packages/anvilhinge/src/stand_ins/object_api.ts
+++ b/packages/anvilhinge/src/stand_ins/object_api.ts
@@ -57,7 +57,11 @@
     key: string,
     condition: objectStore.WriteCondition,
   ): ApiWriteOutcome;
-  /** Delivers events synchronously with the write that causes them. */
+  /**
+   * Delivers events synchronously with the write that causes them; `onEvent`
+   * must not write, or else events overtake each other. The local store and the
+   * HTTP adapter queue the events.
+   */
   watch(prefix: string, options: objectStore.WatchOptions): void;
   /** Ends all watches with a `closed` event. */
   closeWatches(message: string): void;
--- a/packages/anvilhinge/src/stand_ins/object_api_test.ts
+++ b/packages/anvilhinge/src/stand_ins/object_api_test.ts
@@ -80,6 +80,19 @@
   });
 });
 
+test("delivers only events above the version that a watch starts from", () => {
+  const api = objectApi.createObjectApi();
+  for (let index = 1; index <= 3; index += 1) {
+    api.write(`a/${index}`, index, { ifVersion: 0 });
+  }
+  const { events } = watchAll(api, 2);
+  expect(events)
+    .toEqual([{
+      kind: "changed",
+      object: { key: "a/3", value: 3, version: 3 },
+    }]);
+});
+
 describe("local object store", () => {
   test("reports a lost answer as unknown though the write took effect", async () => {
     const { api, faultSwitch, store } = createLocal();
