--- a/packages/anvilhinge/src/adapters/connect_server.ts
+++ b/packages/anvilhinge/src/adapters/connect_server.ts
@@ -19,7 +19,10 @@
 ): Promise<string> {
   const sessions = new Set<http2.ServerHttp2Session>();
   const server = http2.createServer(
-    connectNode.connectNodeAdapter({ routes: options.routes }),
+    connectNode.connectNodeAdapter({
+      routes: options.routes,
+      shutdownSignal: options.signal,
+    }),
   );
   server.on("session", (session) => {
     sessions.add(session);
@@ -28,7 +31,10 @@
   });
   options.signal.addEventListener("abort", () => {
     server.close();
-    for (const session of sessions) session.destroy();
+    // Handlers end on the same signal; their streams must outlive that moment.
+    setImmediate(() => {
+      for (const session of sessions) session.destroy();
+    });
   }, { once: true });
   return new Promise((resolve, reject) => {
     server.once("error", reject);
--- a/packages/anvilhinge/src/agent/service.ts
+++ b/packages/anvilhinge/src/agent/service.ts
@@ -118,7 +118,7 @@
     }
   }
 
-  function routes(router: connect.ConnectRouter): void {
+  function registerRoutes(router: connect.ConnectRouter): void {
     router.service(agentPb.AgentService, {
       run(request, context) {
         const attempt = frameCodec.decodeAttempt(request);
@@ -156,7 +156,7 @@
     });
   }
 
-  return { routes, cancelEngine };
+  return { routes: registerRoutes, cancelEngine };
 }
 
 function getWorkHeaders(
--- a/packages/anvilhinge/src/dev/system.ts
+++ b/packages/anvilhinge/src/dev/system.ts
@@ -89,7 +89,7 @@
   ).slice(0, domainCount);
 }
 
-async function startEntries(
+function startEntries(
   options: SystemOptions,
   adapters: entry.EntryAdapters,
 ): Promise<readonly SystemEntry[]> {
--- a/packages/anvilhinge/src/dev/upstreams.ts
+++ b/packages/anvilhinge/src/dev/upstreams.ts
@@ -68,7 +68,7 @@
       }).listen({ ...listenOptions, signal: options.signal })
     ),
   );
-  const urls = addresses.map((address) => `http://${address}`);
+  const urls = addresses.map((address) => address.baseUrl);
   return { engine, urls, faults: switches };
 }
 
@@ -80,7 +80,7 @@
     faults: faultSwitch,
     scheduler: options.scheduler,
   }).listen({ ...listenOptions, signal: options.signal });
-  return { service, urls: [`http://${address}`], faults: [faultSwitch] };
+  return { service, urls: [address.baseUrl], faults: [faultSwitch] };
 }
 
 /** Starts the group's stand-in and an agent beside each rank. */
--- a/packages/anvilhinge/src/entry/mod.ts
+++ b/packages/anvilhinge/src/entry/mod.ts
@@ -190,7 +190,8 @@
   adapters: EntryAdapters = {},
 ): Promise<RunningEntry> {
   const parts = composeParts(settings, adapters);
-  const { abort, state, logger, scheduler } = parts;
+  const { abort, state, logger, scheduler, listMembers } = parts;
+  listMembers();
   const { signal } = abort;
   const address = await httpServer.startHttpServer({
     app: createApp(parts),
--- a/packages/anvilhinge/src/entry/session.ts
+++ b/packages/anvilhinge/src/entry/session.ts
@@ -206,7 +206,7 @@
   let hasDelivered = false;
   let isDone = false;
 
-  function answer(final: FinalAnswer): SessionEffect[] {
+  function finish(final: FinalAnswer): SessionEffect[] {
     isDone = true;
     current = undefined;
     return [{ kind: "answer", answer: final }];
@@ -233,7 +233,7 @@
   function startAttempt(): SessionEffect[] {
     const leftMs = request.deadlineAtMs - options.clock.now();
     if (leftMs <= 0) {
-      return answer({
+      return finish({
         kind: "not_run",
         reason: "The deadline passed before an upstream was found",
         retryAfterMs: 0,
@@ -241,7 +241,7 @@
     }
     const choice = options.chooseUpstream(tried);
     if (choice.kind === "none") {
-      return answer({
+      return finish({
         kind: "not_run",
         reason: choice.reason,
         retryAfterMs: choice.retryAfterMs,
@@ -279,7 +279,7 @@
     const mayRetry = attempts < maxAttempts && options.takeRetry();
     return mayRetry
       ? startAttempt()
-      : answer({ kind: "not_run", reason, retryAfterMs });
+      : finish({ kind: "not_run", reason, retryAfterMs });
   }
 
   /** Goes on after an attempt that ran, or may have run, without completing. */
@@ -287,7 +287,7 @@
     current = undefined;
     const mayRetry = request.isRepeatable && !hasDelivered &&
       attempts < maxAttempts && options.takeRetry();
-    return mayRetry ? startAttempt() : answer({ kind: "failed", message });
+    return mayRetry ? startAttempt() : finish({ kind: "failed", message });
   }
 
   function takePending(): SessionEffect[] {
@@ -333,7 +333,7 @@
       ];
     }
     if (running.nextSequence > 0) {
-      return [observed, ...answer({ kind: "unknown", message })];
+      return [observed, ...finish({ kind: "unknown", message })];
     }
     return [observed, { kind: "seal", upstream, attemptId }];
   }
@@ -409,7 +409,7 @@
       outcome: "lost",
     };
     if (request.isRepeatable) return [observed, ...retryFailed(message)];
-    return [observed, ...answer({ kind: "unknown", message })];
+    return [observed, ...finish({ kind: "unknown", message })];
   }
 
   function handleSealAnswer(
@@ -433,7 +433,7 @@
           { kind: "set_timer", name: "stall", delayMs: stallMs },
         ];
       case "unreachable":
-        return answer({
+        return finish({
           kind: "unknown",
           message: `Contact with upstream ${upstream.id} was lost`,
         });
@@ -444,13 +444,13 @@
     const running = current;
     const message = "The deadline passed before the answer was complete";
     if (running === undefined) {
-      return answer({ kind: "deadline_exceeded", message });
+      return finish({ kind: "deadline_exceeded", message });
     }
     const { upstream, attemptId } = running;
-    if (!request.isRepeatable) return answer({ kind: "unknown", message });
+    if (!request.isRepeatable) return finish({ kind: "unknown", message });
     return [
       { kind: "cancel", upstream, attemptId },
-      ...answer({ kind: "deadline_exceeded", message }),
+      ...finish({ kind: "deadline_exceeded", message }),
     ];
   }
 
--- a/packages/anvilhinge/src/main.ts
+++ b/packages/anvilhinge/src/main.ts
@@ -1,7 +1,10 @@
 /** The daemon and its operators' command in one binary. */
 import * as crypto from "node:crypto";
 import * as undici from "undici";
+import * as agent from "./agent/mod.ts";
 import * as program from "./cli/program.ts";
+import * as dev from "./dev/mod.ts";
+import * as entry from "./entry/mod.ts";
 
 /** Asks for a graceful shutdown at the first signal of the platform. */
 function watchShutdown(): AbortSignal {
@@ -12,20 +15,10 @@
   return controller.signal;
 }
 
-/** Loads each role only when it runs, which keeps the other commands quick. */
 const roles: program.Roles = {
-  async runEntry(settings, options) {
-    const entry = await import("./entry/mod.ts");
-    await entry.runEntry(settings, options);
-  },
-  async runAgent(settings, options) {
-    const agent = await import("./agent/mod.ts");
-    await agent.runAgent(settings, options);
-  },
-  async runDev(options) {
-    const dev = await import("./dev/mod.ts");
-    await dev.runDev(options);
-  },
+  runEntry: entry.runEntry,
+  runAgent: agent.runAgent,
+  runDev: dev.runDev,
 };
 
 async function runMain(): Promise<void> {
