--- a/packages/anvilhinge/src/cli/builder.ts
+++ b/packages/anvilhinge/src/cli/builder.ts
@@ -32,7 +32,7 @@
     settings: process.AgentSettings,
     options: RunOptions,
   ): Promise<void>;
-  runDev(options: DevOptions): Promise<void>;
+  runDev(options: DevOptions): Promise<outcome.CommandOutcome>;
 }
 
 export interface ProgramOptions {
--- a/packages/anvilhinge/src/cli/role_commands.ts
+++ b/packages/anvilhinge/src/cli/role_commands.ts
@@ -25,8 +25,24 @@
   if (checked.kind === "invalid") {
     return outcome.createProblemOutcome(checked.problems);
   }
-  await run(checked.settings);
-  return finished;
+  return tryRun(() => run(checked.settings));
+}
+
+/** Turns errors of the operating system, such as a port in use, into outcomes. */
+async function tryRun(
+  run: () => Promise<void>,
+): Promise<outcome.CommandOutcome> {
+  try {
+    await run();
+    return finished;
+  } catch (error) {
+    const { syscall, message } = error as NodeJS.ErrnoException;
+    if (syscall === undefined) throw error;
+    return {
+      kind: "refused",
+      message: `The process can't start: ${message}; check the addresses`,
+    };
+  }
 }
 
 /** Adds `entry`, `agent` and `dev`. */
@@ -62,10 +78,7 @@
     .description("Run the whole system on loopback in one process")
     .option("--playground <name>", "Playground to load")
     .action(({ playground }: { playground?: string }) =>
-      settle(async () => {
-        await roles.runDev({ playground, signal, output });
-        return finished;
-      })
+      settle(() => roles.runDev({ playground, signal, output }))
     );
 }
 
--- a/packages/anvilhinge/src/dev/mod.ts
+++ b/packages/anvilhinge/src/dev/mod.ts
@@ -1,11 +1,10 @@
 /** The dev role: the whole system with stand-ins, on embedded defaults. */
 import * as nodeCrypto from "node:crypto";
-import * as nodePath from "node:path";
 import * as random from "@anvilhinge/coordination/random";
+import * as outcome from "../cli/outcome.ts";
 import * as systemScheduler from "../adapters/system_scheduler.ts";
-import * as document from "../settings/document.ts";
 import * as playground from "../settings/playground.ts";
-import * as playgroundFolder from "./playground_folder.ts";
+import * as defaultSettings from "./default_settings.ts";
 import * as system from "./system.ts";
 
 export interface DevOptions {
@@ -21,20 +20,16 @@
 export const devToken = "dev-token";
 
 /** Starts the system, prints its addresses, and runs until the signal. */
-export async function runDev(options: DevOptions): Promise<void> {
-  const root = playgroundFolder.findPlaygroundFolder(process.cwd()) ??
-    playgroundFolder.findPlaygroundFolder(__dirname);
-  if (root === undefined) {
-    throw new Error(
-      "Folder playground was not found; run from a checkout of the project",
-    );
+export async function runDev(
+  options: DevOptions,
+): Promise<outcome.CommandOutcome> {
+  const found = await defaultSettings.loadDefaultSettings(options.playground);
+  if (found.kind === "missing") {
+    return { kind: "refused", message: found.message };
   }
-  const folder = options.playground === undefined
-    ? root
-    : nodePath.join(root, options.playground);
-  const loaded = await playground.loadPlayground(folder);
+  const loaded = playground.checkSources(found.sources);
   if (loaded.kind === "invalid") {
-    throw new Error(document.formatProblems(loaded.problems));
+    return outcome.createProblemOutcome(loaded.problems);
   }
   const subtrees = [
     ...new Set(loaded.settings.map(({ path }) => `/${path.half}/${path.team}`)),
@@ -70,4 +65,5 @@
   }
   await running.stop();
   abort.abort();
+  return { kind: "done", text: "", data: null };
 }
--- a/packages/anvilhinge/src/entry/session.ts
+++ b/packages/anvilhinge/src/entry/session.ts
@@ -182,6 +182,11 @@
   resumes: number;
 }
 
+/** True when a call of the attempt may have reached its agent. */
+function hasReached(running: Running): boolean {
+  return running.nextSequence > 0 || running.resumes > 0;
+}
+
 const defaultMaxAttempts = 4;
 const defaultMaxResumes = 3;
 const defaultStallMs = 5_000;
@@ -485,7 +490,9 @@
           return handleFrame(event.frame);
         case "lost":
           if (event.attemptId !== current?.attemptId) return [];
-          if (!event.sent) {
+          // A refused connection proves that the attempt did not run only if no
+          // earlier call of the attempt reached the agent.
+          if (!event.sent && !hasReached(current)) {
             return [
               { kind: "observe", upstream: current.upstream, outcome: "lost" },
               ...retryNotRun(event.message, 0),
--- a/packages/anvilhinge/src/main.ts
+++ b/packages/anvilhinge/src/main.ts
@@ -21,7 +21,14 @@
   runDev: dev.runDev,
 };
 
+/** Ends quietly when the reader of the output, such as `head`, has gone. */
+function handleClosedOutput(error: NodeJS.ErrnoException): void {
+  if (error.code !== "EPIPE") throw error;
+  process.exit();
+}
+
 async function runMain(): Promise<void> {
+  process.stdout.on("error", handleClosedOutput);
   const built = program.buildProgram({
     roles,
     output: {
--- a/packages/anvilhinge/src/settings/playground.ts
+++ b/packages/anvilhinge/src/settings/playground.ts
@@ -41,18 +41,32 @@
 }
 
 /**
- * Loads all files `<half>/<team>/<kind>/<name>.jsonc` in or below a folder and
- * checks each subtree by itself. Rejects when the folder can't be read.
+ * Reads all files `<half>/<team>/<kind>/<name>.jsonc` in or below a folder.
+ * Rejects when the folder can't be read.
  */
-export async function loadPlayground(
+export async function readObjectSources(
   folder: string,
-): Promise<subtree.SubtreeOutcome> {
+): Promise<readonly objects.ObjectSource[]> {
   const names = await fs.readdir(folder, { recursive: true });
   const files = names.filter((name) => name.endsWith(fileExtension)).sort();
-  if (files.length === 0) return refuseEmptyFolder(folder);
-  const sources = await Promise.all(
+  return Promise.all(
     files.map((name) => readObjectSource(nodePath.join(folder, name))),
   );
+}
+
+/** Loads and checks all settings objects in or below a folder. */
+export async function loadPlayground(
+  folder: string,
+): Promise<subtree.SubtreeOutcome> {
+  const sources = await readObjectSources(folder);
+  if (sources.length === 0) return refuseEmptyFolder(folder);
+  return checkSources(sources);
+}
+
+/** Checks settings objects of any subtrees, each subtree by itself. */
+export function checkSources(
+  sources: readonly objects.ObjectSource[],
+): subtree.SubtreeOutcome {
   const outcomes = groupBySubtree(sources).map(subtree.checkSubtree);
   const problems: readonly document.Problem[] = outcomes.flatMap((outcome) =>
     outcome.kind === "invalid" ? outcome.problems : []
--- /dev/null
+++ b/scripts/binary_test.ts
@@ -0,0 +1,170 @@
+import { once } from "node:events";
+import * as fs from "node:fs/promises";
+import * as os from "node:os";
+import * as nodePath from "node:path";
+import * as caller from "../packages/anvilhinge/src/dev/caller.ts";
+import * as answer from "../packages/anvilhinge/src/stand_ins/answer.ts";
+import * as binarySystem from "./binary_system.ts";
+import * as build from "./build.ts";
+
+const testTimeoutMs = 120_000;
+const workspace = "drafting/milan";
+
+function buildChat(content: string) {
+  return {
+    model: "drafting",
+    messages: [{ role: "user", content }],
+    max_tokens: 64,
+  };
+}
+
+/** Returns a chat whose answer is long enough to be cut in the middle. */
+function buildLongChat(label: string) {
+  for (let index = 0;; index += 1) {
+    const body = buildChat(`${label} ${index}`);
+    if (answer.describeAnswer(body).length >= 40) return body;
+  }
+}
+
+describe("the binary as separate processes", () => {
+  let folder: string;
+  let running: binarySystem.BinarySystem | undefined;
+
+  beforeAll(async () => {
+    folder = await fs.mkdtemp(nodePath.join(os.tmpdir(), "anvilhinge-"));
+    const binary = await build.buildBinary();
+    running = await binarySystem.startBinarySystem({
+      binary,
+      folder,
+      stepMs: 20,
+    });
+    await waitForAnswers();
+  }, testTimeoutMs);
+
+  afterAll(async () => {
+    await running?.close();
+    await fs.rm(folder, { recursive: true });
+  });
+
+  function getLiveEntry(): binarySystem.BinaryProcess {
+    const live = running!.entries.find(({ process }) =>
+      process.exitCode === null && process.signalCode === null
+    );
+    return live!;
+  }
+
+  /** Waits until each agent has learnt its assignment and serves work. */
+  async function waitForAnswers(): Promise<void> {
+    for (let whole = 0; whole < 12;) {
+      const { address } = getLiveEntry();
+      const body = buildChat(`start ${whole}`);
+      const outcome = await caller.sendChat({ address, workspace, body });
+      if (outcome.kind === "complete") whole += 1;
+    }
+  }
+
+  /** Sends a long chat and calls `onMiddle` once after some tokens. */
+  function sendLongChat(
+    entry: binarySystem.BinaryProcess,
+    body: ReturnType<typeof buildChat>,
+    onMiddle: () => void,
+  ): Promise<caller.ChatOutcome> {
+    let tokens = 0;
+    return caller.sendChat({
+      address: entry.address,
+      workspace,
+      body,
+      onToken() {
+        tokens += 1;
+        if (tokens === 5) onMiddle();
+      },
+    });
+  }
+
+  test(
+    "an answer goes on through another entry after its entry is killed",
+    async () => {
+      const [first, second] = running!.entries;
+      const body = buildLongChat("killed entry");
+      const broken = await sendLongChat(first!, body, () => {
+        first!.process.kill("SIGKILL");
+      });
+      if (broken.kind !== "broken") throw new Error(`Got ${broken.kind}`);
+      const rest = await caller.sendChat({
+        address: second!.address,
+        workspace,
+        body,
+        headers: { "last-event-id": broken.lastEventId },
+      });
+      expect(rest.kind).toBe("complete");
+      const tokens = rest.kind === "complete" ? rest.tokens : [];
+      expect([...broken.tokens, ...tokens]).toEqual(
+        answer.describeAnswer(body),
+      );
+    },
+    testTimeoutMs,
+  );
+
+  test(
+    "requests go on after an agent is killed in the middle of answers",
+    async () => {
+      const entry = getLiveEntry();
+      const victim = running!.agents[0]!;
+      const bodies = Array.from(
+        { length: 12 },
+        (_, index) => buildLongChat(`killed agent ${index}`),
+      );
+      let isKilled = false;
+      const outcomes = await Promise.all(
+        bodies.map((body) =>
+          sendLongChat(entry, body, () => {
+            if (!isKilled) victim.process.kill("SIGKILL");
+            isKilled = true;
+          })
+        ),
+      );
+      for (const [index, outcome] of outcomes.entries()) {
+        const expected = answer.describeAnswer(bodies[index]!);
+        if (outcome.kind === "refused") throw new Error(outcome.message);
+        // An answer that was cut says so and holds a prefix of its own text.
+        expect(expected.slice(0, outcome.tokens.length)).toEqual(
+          outcome.tokens,
+        );
+        if (outcome.kind === "complete") {
+          expect(outcome.tokens).toEqual(expected);
+        }
+      }
+      const kinds = outcomes.map(({ kind }) => kind);
+      expect(kinds).toContain("complete");
+      const body = buildChat("after the agent");
+      const later = await Promise.all(
+        Array.from(
+          { length: 8 },
+          () => caller.sendChat({ address: entry.address, workspace, body }),
+        ),
+      );
+      expect(later.map(({ kind }) => kind)).toEqual(
+        later.map(() => "complete"),
+      );
+    },
+    testTimeoutMs,
+  );
+
+  test(
+    "a planned stop of an entry cuts no answer and exits with 0",
+    async () => {
+      const entry = getLiveEntry();
+      const body = buildLongChat("planned stop");
+      const exit = once(entry.process, "exit");
+      const outcome = await sendLongChat(entry, body, () => {
+        entry.process.kill("SIGTERM");
+      });
+      expect(outcome).toMatchObject({
+        kind: "complete",
+        tokens: answer.describeAnswer(body),
+      });
+      expect((await exit)[0]).toBe(0);
+    },
+    testTimeoutMs,
+  );
+});
--- /dev/null
+++ b/scripts/build.ts
@@ -0,0 +1,91 @@
+/**
+ * Builds the one binary `dist/anvilhinge`: bundles the program with esbuild and
+ * injects it, with the playground's settings, into a copy of the runtime.
+ */
+import * as childProcess from "node:child_process";
+import * as fs from "node:fs/promises";
+import * as nodePath from "node:path";
+import * as esbuild from "esbuild";
+import * as defaultSettings from "../packages/anvilhinge/src/dev/default_settings.ts";
+import * as playground from "../packages/anvilhinge/src/settings/playground.ts";
+
+const root = nodePath.join(__dirname, "..");
+const dist = nodePath.join(root, "dist");
+const bundleFile = nodePath.join(dist, "anvilhinge.cjs");
+const blobFile = nodePath.join(dist, "anvilhinge.blob");
+const assetFile = nodePath.join(dist, defaultSettings.settingsAsset);
+const configFile = nodePath.join(dist, "sea.json");
+/** Marks the place of the blob in the runtime; defined by Node.js. */
+const sentinelFuse = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
+const executableMode = 0o755;
+
+/** Optional parts of bunyan that need a native addon or write files. */
+const externals = ["dtrace-provider", "mv", "safe-json-stringify"];
+
+async function writeBundle(): Promise<void> {
+  await esbuild.build({
+    entryPoints: [nodePath.join(root, "packages/anvilhinge/src/main.ts")],
+    outfile: bundleFile,
+    bundle: true,
+    platform: "node",
+    format: "cjs",
+    target: "node22",
+    mainFields: ["module", "main"],
+    external: externals,
+    logLevel: "warning",
+  });
+}
+
+async function writeAssets(): Promise<void> {
+  const folder = nodePath.join(root, "playground");
+  const sources = await playground.readObjectSources(folder);
+  const shown = sources.map(({ path, text }) => ({ path, text, file: path }));
+  await fs.writeFile(assetFile, JSON.stringify(shown));
+}
+
+/** Runs a tool to its end; throws with its output when it fails. */
+function runTool(file: string, args: readonly string[]): void {
+  childProcess.execFileSync(file, args, { cwd: root, stdio: "pipe" });
+}
+
+async function writeBlob(): Promise<void> {
+  await fs.writeFile(
+    configFile,
+    JSON.stringify({
+      main: bundleFile,
+      output: blobFile,
+      disableExperimentalSEAWarning: true,
+      assets: { [defaultSettings.settingsAsset]: assetFile },
+    }),
+  );
+  runTool(process.execPath, ["--experimental-sea-config", configFile]);
+}
+
+async function injectBlob(binary: string): Promise<void> {
+  await fs.copyFile(process.execPath, binary);
+  await fs.chmod(binary, executableMode);
+  runTool(process.execPath, [
+    require.resolve("postject/dist/cli.js"),
+    binary,
+    "NODE_SEA_BLOB",
+    blobFile,
+    "--sentinel-fuse",
+    sentinelFuse,
+  ]);
+}
+
+/** Builds the binary; resolves to its path. */
+export async function buildBinary(): Promise<string> {
+  const binary = nodePath.join(dist, "anvilhinge");
+  await fs.mkdir(dist, { recursive: true });
+  await fs.rm(binary, { force: true });
+  await writeBundle();
+  await writeAssets();
+  await writeBlob();
+  await injectBlob(binary);
+  return binary;
+}
+
+if (require.main === module) {
+  buildBinary().then((binary) => console.log(`Built ${binary}`));
+}
