--- a/packages/anvilhinge/src/adapters/frame_codec.ts
+++ b/packages/anvilhinge/src/adapters/frame_codec.ts
@@ -18,6 +18,7 @@
   wrong_incarnation: agentPb.RefusalReason.WRONG_INCARNATION,
   wrong_group: agentPb.RefusalReason.WRONG_GROUP,
   engine_unavailable: agentPb.RefusalReason.ENGINE_UNAVAILABLE,
+  expired: agentPb.RefusalReason.EXPIRED,
 };
 
 const outcomeToWire: Readonly<Record<frames.SealOutcome, agentPb.SealOutcome>> =
@@ -25,6 +26,7 @@
     sealed: agentPb.SealOutcome.SEALED,
     running: agentPb.SealOutcome.RUNNING,
     finished: agentPb.SealOutcome.FINISHED,
+    unknown: agentPb.SealOutcome.UNKNOWN,
   };
 
 function encodeHeaders(pairs: HeaderPairs): agentPb.Header[] {
@@ -177,6 +179,8 @@
     priority: attempt.priority,
     deadlineMs: Math.round(attempt.deadlineMs),
     incarnation: attempt.incarnation,
+    startByMs: attempt.startByMs,
+    repeatable: attempt.isRepeatable,
     work: work.kind === "model"
       ? {
         case: "model",
@@ -215,6 +219,8 @@
     priority: request.priority,
     deadlineMs: request.deadlineMs,
     incarnation: request.incarnation,
+    startByMs: request.startByMs,
+    isRepeatable: request.repeatable,
     work,
   };
 }
--- a/packages/anvilhinge/src/agent/attempts.ts
+++ b/packages/anvilhinge/src/agent/attempts.ts
@@ -6,7 +6,9 @@
 import * as assignment from "@anvilhinge/coordination/assignment";
 import type * as clock from "@anvilhinge/coordination/clock";
 import type * as engine from "../ports/engine.ts";
-import type * as frames from "../ports/frames.ts";
+import * as frames from "../ports/frames.ts";
+import * as frameLogs from "./frame_logs.ts";
+import * as startRecords from "./start_records.ts";
 
 /** Receives the frames of one attempt in order. */
 export type FrameSink = (frame: frames.Frame) => void;
@@ -19,11 +21,15 @@
   readonly incarnation: string;
   readonly readLoad: () => engine.EngineLoad;
   /**
-   * How long frames of a finished attempt and tombstones of sealed ones are
-   * kept, in milliseconds.
+   * How long a finished attempt is kept, in milliseconds.
    * @default 60000
    */
   readonly retentionMs?: number;
+  /**
+   * Most bytes of frames that are held for resumes.
+   * @default 8388608
+   */
+  readonly heldLimitBytes?: number;
   /**
    * How long an attempt runs on while no entry follows it, in milliseconds.
    * @default 10000
@@ -53,10 +59,14 @@
   readonly requestId: string;
   readonly attemptId: string;
   readonly workspace: string;
-  readonly isModel: boolean;
-  readonly frames: frames.Frame[];
+  readonly isRepeatable: boolean;
+  /** Instant by which the caller wants the answer. */
+  readonly deadlineAtMs: number;
   readonly sinks: Set<FrameSink>;
+  frameCount: number;
   state: "running" | "finished";
+  /** True when a follower took the last frame, or none will. */
+  isTaken: boolean;
   changedAtMs: number;
 }
 
@@ -81,15 +91,25 @@
   ): void;
   /** Stops delivery to a sink, for example because its connection broke. */
   detach(attemptId: string, sink: FrameSink): void;
-  /** Ends a running attempt; true when its engine work must be cancelled. */
+  /**
+   * Ends a running attempt that may be repeated, or keeps it from starting;
+   * true when its engine work must be cancelled.
+   */
   cancel(attemptId: string): boolean;
-  seal(requestId: string, attemptId: string): frames.SealOutcome;
+  seal(request: frames.SealRequest): frames.SealOutcome;
+  /** Tells that a follower has the attempt's last frame. */
+  markTaken(attemptId: string): void;
   /** Drops what is past its retention; returns orphans to cancel. */
   expire(): readonly string[];
   countRunning(): number;
+  /** Finished attempts whose last frame no follower has. */
+  countUntaken(): number;
+  /** Bytes of frames that are held. */
+  countHeldBytes(): number;
 }
 
 const defaultRetentionMs = 60_000;
+const defaultHeldLimitBytes = 8 * 1024 * 1024;
 const defaultOrphanGraceMs = 10_000;
 const defaultMaxRunning = 256;
 const defaultOverloadRetryMs = 500;
@@ -100,7 +120,14 @@
   const orphanGraceMs = options.orphanGraceMs ?? defaultOrphanGraceMs;
   const maxRunning = options.maxRunning ?? defaultMaxRunning;
   const held = new Map<string, Held>();
-  const sealedAtMs = new Map<string, number>();
+  const logs = frameLogs.createFrameLogs({
+    limitBytes: options.heldLimitBytes ?? defaultHeldLimitBytes,
+  });
+  const starts = startRecords.createStartRecords({
+    clock: options.clock,
+    incarnation: options.incarnation,
+    retentionMs,
+  });
   let known: assignment.Assignment | undefined;
   let isStopping = false;
   let runningCount = 0;
@@ -108,16 +135,12 @@
   function findRefusal(
     attempt: frames.Attempt,
   ): frames.RefusalReason | undefined {
-    if (sealedAtMs.has(attempt.attemptId)) return "sealed";
+    const limit = starts.findRefusal(attempt.attemptId, attempt);
+    if (limit !== undefined) return limit;
     if (attempt.group !== options.group || attempt.rank !== options.rank) {
       return "wrong_group";
     }
     if (isStopping) return "stopping";
-    if (
-      attempt.incarnation !== "" && attempt.incarnation !== options.incarnation
-    ) {
-      return "wrong_incarnation";
-    }
     const admission = assignment.checkAdmission(known, attempt);
     if (admission.kind !== "admitted") return admission.kind;
     return runningCount >= maxRunning ? "overloaded" : undefined;
@@ -127,10 +150,11 @@
     const frame = {
       requestId: entry.requestId,
       attemptId: entry.attemptId,
-      sequence: entry.frames.length,
+      sequence: entry.frameCount,
       body,
     };
-    entry.frames.push(frame);
+    entry.frameCount += 1;
+    logs.append(entry.attemptId, frame);
     for (const sink of entry.sinks) sink(frame);
   }
 
@@ -139,11 +163,28 @@
     entry.state = "finished";
     entry.changedAtMs = options.clock.now();
     entry.sinks.clear();
+    logs.finish(entry.attemptId);
     runningCount -= 1;
   }
 
-  function follow(entry: Held, fromSequence: number, sink: FrameSink): void {
-    for (const frame of entry.frames.slice(fromSequence)) sink(frame);
+  function follow(
+    request: Parameters<Attempts["resume"]>[0],
+    sink: FrameSink,
+  ): void {
+    const entry = held.get(request.attemptId);
+    const isOwn = entry?.requestId === request.requestId &&
+      entry.workspace === request.workspace;
+    const missed = logs.read(request.attemptId, request.fromSequence);
+    if (entry === undefined || !isOwn || missed === undefined) {
+      sink({
+        requestId: request.requestId,
+        attemptId: request.attemptId,
+        sequence: request.fromSequence,
+        body: { kind: "not_held" },
+      });
+      return;
+    }
+    for (const frame of missed) sink(frame);
     if (entry.state === "running") entry.sinks.add(sink);
   }
 
@@ -152,6 +193,10 @@
     reason: frames.RefusalReason,
     sink: FrameSink,
   ): void {
+    // A copy of the call that arrives later must not start what was refused.
+    const canStartLater = reason !== "expired" &&
+      reason !== "wrong_incarnation";
+    if (canStartLater) starts.forbid(attempt.attemptId, attempt.startByMs);
     const retryAfterMs = reason === "overloaded"
       ? options.overloadRetryMs ?? defaultOverloadRetryMs
       : 0;
@@ -179,7 +224,7 @@
     offer(attempt, sink) {
       const existing = held.get(attempt.attemptId);
       if (existing !== undefined) {
-        follow(existing, 0, sink);
+        follow({ ...attempt, fromSequence: 0 }, sink);
         return { kind: "followed" };
       }
       const reason = findRefusal(attempt);
@@ -188,16 +233,20 @@
         return { kind: "refused" };
       }
       runningCount += 1;
+      const nowMs = options.clock.now();
       held.set(attempt.attemptId, {
         requestId: attempt.requestId,
         attemptId: attempt.attemptId,
         workspace: attempt.workspace,
-        isModel: attempt.work.kind === "model",
-        frames: [],
+        isRepeatable: attempt.isRepeatable,
+        deadlineAtMs: nowMs + attempt.deadlineMs,
         sinks: new Set([sink]),
+        frameCount: 0,
         state: "running",
-        changedAtMs: options.clock.now(),
+        isTaken: false,
+        changedAtMs: nowMs,
       });
+      logs.open(attempt.attemptId, attempt);
       return { kind: "start" };
     },
     receiveEvent(attemptId, event) {
@@ -217,12 +266,12 @@
         case "end":
           finish(entry, {
             kind: "end",
-            frameCount: entry.frames.length + 1,
+            frameCount: entry.frameCount + 1,
             load: options.readLoad(),
           });
           return;
         case "failed":
-          if (!event.started && entry.frames.length === 0) {
+          if (!event.started && entry.frameCount === 0) {
             finish(entry, {
               kind: "refused",
               reason: "engine_unavailable",
@@ -239,21 +288,7 @@
           return;
       }
     },
-    resume(request, sink) {
-      const entry = held.get(request.attemptId);
-      const isOwn = entry?.requestId === request.requestId &&
-        entry.workspace === request.workspace;
-      if (entry === undefined || !isOwn) {
-        sink({
-          requestId: request.requestId,
-          attemptId: request.attemptId,
-          sequence: request.fromSequence,
-          body: { kind: "not_held" },
-        });
-        return;
-      }
-      follow(entry, request.fromSequence, sink);
-    },
+    resume: follow,
     detach(attemptId, sink) {
       const entry = held.get(attemptId);
       if (entry === undefined) return;
@@ -264,7 +299,14 @@
     },
     cancel(attemptId) {
       const entry = held.get(attemptId);
-      if (entry === undefined || entry.state === "finished") return false;
+      if (entry === undefined) {
+        // The cancel overtook the call that it ends.
+        const latestStartMs = options.clock.now() + frames.startWindowMs;
+        starts.forbid(attemptId, latestStartMs);
+        return false;
+      }
+      if (entry.state === "finished" || !entry.isRepeatable) return false;
+      entry.isTaken = true;
       finish(entry, {
         kind: "failed",
         message: "The attempt was cancelled",
@@ -272,29 +314,42 @@
       });
       return true;
     },
-    seal(_requestId, attemptId) {
-      const entry = held.get(attemptId);
+    seal(request) {
+      const entry = held.get(request.attemptId);
       if (entry !== undefined) return entry.state;
-      sealedAtMs.set(attemptId, options.clock.now());
+      if (!starts.isSurelyUnstarted(request)) return "unknown";
+      starts.forbid(request.attemptId, request.startByMs);
       return "sealed";
     },
+    markTaken(attemptId) {
+      const entry = held.get(attemptId);
+      if (entry?.state === "finished") entry.isTaken = true;
+    },
     expire() {
       const nowMs = options.clock.now();
       const orphans: string[] = [];
       for (const entry of held.values()) {
         const ageMs = nowMs - entry.changedAtMs;
         if (entry.state === "finished") {
-          if (ageMs >= retentionMs) held.delete(entry.attemptId);
+          if (ageMs < retentionMs) continue;
+          held.delete(entry.attemptId);
+          logs.remove(entry.attemptId);
           continue;
         }
-        const isOrphan = entry.isModel && entry.sinks.size === 0;
-        if (isOrphan && ageMs >= orphanGraceMs) orphans.push(entry.attemptId);
-      }
-      for (const [attemptId, atMs] of sealedAtMs) {
-        if (nowMs - atMs >= retentionMs) sealedAtMs.delete(attemptId);
+        if (!entry.isRepeatable) continue;
+        const isLeft = entry.sinks.size === 0 && ageMs >= orphanGraceMs;
+        // A connection that broke in silence still counts as a follower.
+        const isOverdue = nowMs >= entry.deadlineAtMs + orphanGraceMs;
+        if (isLeft || isOverdue) orphans.push(entry.attemptId);
       }
+      starts.expire();
       return orphans;
     },
     countRunning: () => runningCount,
+    countUntaken: () =>
+      [...held.values()].filter((entry) =>
+        entry.state === "finished" && !entry.isTaken
+      ).length,
+    countHeldBytes: () => logs.countBytes(),
   };
 }
--- a/packages/anvilhinge/src/agent/mod.ts
+++ b/packages/anvilhinge/src/agent/mod.ts
@@ -87,6 +87,7 @@
         attempts: parts.attempts,
         engine: parts.engine,
         incarnation: parts.incarnation,
+        clock: parts.scheduler,
         tracing: parts.tracing,
       })
     ).singleton(),
--- a/packages/anvilhinge/src/agent/service.ts
+++ b/packages/anvilhinge/src/agent/service.ts
@@ -4,6 +4,7 @@
 import * as frameCodec from "../adapters/frame_codec.ts";
 import * as streamQueue from "../adapters/stream_queue.ts";
 import * as agentPb from "../gen/anvilhinge/v1/agent_pb.ts";
+import type * as clock from "@anvilhinge/coordination/clock";
 import type * as engine from "../ports/engine.ts";
 import type * as frames from "../ports/frames.ts";
 import * as tracing from "../telemetry/tracing.ts";
@@ -14,6 +15,7 @@
   readonly attempts: attempts.Attempts;
   readonly engine: engine.Engine;
   readonly incarnation: string;
+  readonly clock: clock.Clock;
   readonly tracing: tracing.Tracing;
 }
 
@@ -21,6 +23,8 @@
 export interface AgentService {
   readonly routes: (router: connect.ConnectRouter) => void;
   cancelEngine(attemptId: string): void;
+  /** Streams of frames that entries still read. */
+  countStreams(): number;
 }
 
 interface Spans {
@@ -29,11 +33,14 @@
   end(event: engine.EngineEvent): void;
 }
 
+/** Data that a slow reader may leave waiting before its stream is closed. */
+const waitingLimitBytes = 1024 * 1024;
 const chatPath = "/v1/chat/completions";
 
 /** Creates the agent's connect-es service. */
 export function createAgentService(options: AgentServiceOptions): AgentService {
   const running = new Map<string, AbortController>();
+  let streamCount = 0;
 
   function startEngine(attempt: frames.Attempt, headers: Headers): void {
     const abort = new AbortController();
@@ -106,20 +113,33 @@
     signal: AbortSignal,
   ): AsyncGenerator<agentPb.Frame> {
     const queue = streamQueue.createStreamQueue<frames.Frame>(signal);
+    let waitingBytes = 0;
     const sink: attempts.FrameSink = (frame) => {
+      waitingBytes += measureData(frame);
       queue.push(frame);
-      if (isLast(frame)) queue.close();
+      // A reader that falls behind resumes from the frames that are held.
+      if (isLast(frame) || waitingBytes > waitingLimitBytes) queue.close();
     };
+    streamCount += 1;
     try {
       subscribe(sink);
-      for await (const frame of queue) yield frameCodec.encodeFrame(frame);
+      for await (const frame of queue) {
+        waitingBytes -= measureData(frame);
+        yield frameCodec.encodeFrame(frame);
+        if (isLast(frame)) options.attempts.markTaken(attemptId);
+      }
     } finally {
+      streamCount -= 1;
       options.attempts.detach(attemptId, sink);
     }
   }
 
   function registerRoutes(router: connect.ConnectRouter): void {
     router.service(agentPb.AgentService, {
+      describe: () => ({
+        incarnation: options.incarnation,
+        nowMs: options.clock.now(),
+      }),
       run(request, context) {
         const attempt = frameCodec.decodeAttempt(request);
         if (attempt === undefined) {
@@ -144,10 +164,7 @@
         return {};
       },
       seal(request) {
-        const outcome = options.attempts.seal(
-          request.requestId,
-          request.attemptId,
-        );
+        const outcome = options.attempts.seal(request);
         return {
           outcome: frameCodec.encodeSealOutcome(outcome),
           incarnation: options.incarnation,
@@ -156,7 +173,11 @@
     });
   }
 
-  return { routes: registerRoutes, cancelEngine };
+  return {
+    routes: registerRoutes,
+    cancelEngine,
+    countStreams: () => streamCount,
+  };
 }
 
 function getWorkHeaders(
@@ -208,6 +229,10 @@
   );
 }
 
+function measureData(frame: frames.Frame): number {
+  return frame.body.kind === "chunk" ? frame.body.data.byteLength : 0;
+}
+
 function isLast(frame: frames.Frame): boolean {
   switch (frame.body.kind) {
     case "end":
--- a/packages/anvilhinge/src/entry/agent_client.ts
+++ b/packages/anvilhinge/src/entry/agent_client.ts
@@ -39,11 +39,15 @@
 }
 
 export interface AgentClient {
+  /** Resolves to `unreachable` when the agent did not answer in time. */
+  describe(
+    address: string,
+  ): Promise<frames.AgentDescription | "unreachable">;
   run(attempt: frames.Attempt, options: StreamOptions): void;
   resume(request: ResumeRequest, options: StreamOptions): void;
   /** Resolves to `unreachable` when the agent did not answer in time. */
   seal(
-    name: AttemptName,
+    request: frames.SealRequest,
     address: string,
   ): Promise<frames.SealOutcome | "unreachable">;
   cancel(name: AttemptName, address: string): void;
@@ -117,6 +121,14 @@
   }
 
   return {
+    async describe(address) {
+      try {
+        const response = await getClient(address).describe({}, { timeoutMs });
+        return { incarnation: response.incarnation, nowMs: response.nowMs };
+      } catch {
+        return "unreachable";
+      }
+    },
     run(attempt, stream) {
       const request = frameCodec.encodeAttempt(attempt);
       const { signal, headers } = stream;
@@ -132,9 +144,9 @@
         stream,
       );
     },
-    async seal(name, address) {
+    async seal(request, address) {
       try {
-        const response = await getClient(address).seal(name, { timeoutMs });
+        const response = await getClient(address).seal(request, { timeoutMs });
         return frameCodec.decodeSealOutcome(response.outcome) ?? "unreachable";
       } catch {
         return "unreachable";
--- a/packages/anvilhinge/src/entry/caller_error.ts
+++ b/packages/anvilhinge/src/entry/caller_error.ts
@@ -15,6 +15,8 @@
   | "failed"
   | "outcome_unknown"
   | "deadline_exceeded"
+  | "other_body"
+  | "already_run"
   | "not_ready"
   | "internal";
 
@@ -26,6 +28,8 @@
   readonly message: string;
   /** Advice when to come back, in milliseconds; 0 when there is none. */
   readonly retryAfterMs?: number;
+  /** Set when the code alone does not tell. */
+  readonly ran?: session.Ran;
 }
 
 /** JSON body of an error answer. */
@@ -35,7 +39,7 @@
     readonly message: string;
     readonly request_id: string;
     /** Whether the request had any effect: `no`, `yes` in part, or `unknown`. */
-    readonly ran: "no" | "yes" | "unknown";
+    readonly ran: session.Ran;
   };
 }
 
@@ -52,26 +56,53 @@
         retryAfterMs: final.retryAfterMs,
       };
     case "failed":
-      return { status: 502, code: "failed", message: final.message };
+      return {
+        status: 502,
+        code: "failed",
+        message: `${final.message}; the call may be sent again`,
+        ran: final.ran,
+      };
     case "unknown":
       return {
         status: 504,
         code: "outcome_unknown",
         message: `${final.message}; ask GET /v1/requests/<request id> later`,
+        retryAfterMs: final.retryAfterMs,
       };
     case "deadline_exceeded":
-      return { status: 504, code: "deadline_exceeded", message: final.message };
+      return {
+        status: 504,
+        code: "deadline_exceeded",
+        message: final.message,
+        ran: final.ran,
+      };
+    case "other_body":
+      return {
+        status: 422,
+        code: "other_body",
+        message:
+          "The idempotency key or request id was used for another call; choose a new one",
+      };
+    case "already_run":
+      return {
+        status: 409,
+        code: "already_run",
+        message:
+          `The call ran before and was answered with status ${final.status}; its answer was too large to keep`,
+      };
   }
 }
 
-function describeEffect(code: CallerErrorCode): "no" | "yes" | "unknown" {
-  switch (code) {
+function describeEffect(error: CallerError): session.Ran {
+  if (error.ran !== undefined) return error.ran;
+  switch (error.code) {
+    case "already_run":
+      return "yes";
     case "outcome_unknown":
-      return "unknown";
     case "failed":
     case "deadline_exceeded":
     case "internal":
-      return "yes";
+      return "unknown";
     default:
       return "no";
   }
@@ -87,7 +118,7 @@
       code: error.code,
       message: error.message,
       request_id: requestId,
-      ran: describeEffect(error.code),
+      ran: describeEffect(error),
     },
   };
 }
--- a/packages/anvilhinge/src/entry/callers_http.ts
+++ b/packages/anvilhinge/src/entry/callers_http.ts
@@ -4,6 +4,7 @@
 import type * as objects from "../settings/objects.ts";
 import * as addresses from "./addresses.ts";
 import * as answerWriter from "./answer_writer.ts";
+import * as callIdentity from "./call_identity.ts";
 import type * as context from "./context.ts";
 import * as requestChecks from "./request_checks.ts";
 import * as requestRunner from "./request_runner.ts";
@@ -47,11 +48,13 @@
       settings?.timeoutMs ?? defaultModelTimeoutMs,
     );
     if (deadline.kind === "error") return deadline;
+    if (point.value !== undefined) setRequestId(koa, point.value.requestId);
     await runRequest(koa, {
-      requestId: point.value?.requestId ?? String(koa.state.requestId),
+      requestId: String(koa.state.requestId),
       workspace: workspace.value.id,
       work: { kind: "model", model, body: body.value },
       isRepeatable: true,
+      digest: "",
       priority: workspace.value.settings.priority,
       deadlineAtMs: entry.scheduler.now() + deadline.value,
       delivery: stream ? "streamed" : "whole",
@@ -77,6 +80,16 @@
     const body = await requestChecks.readBody(entry, koa);
     if (body.kind === "error") return body;
     const path = `/${koa.params.path ?? ""}${koa.search}`;
+    const call = { method: koa.method, path };
+    const repeatable = isRepeatable(service, call);
+    const key = requestChecks.checkIdempotencyKey(koa);
+    if (key.kind === "error") return key;
+    if (!repeatable && key.value !== "") {
+      setRequestId(
+        koa,
+        callIdentity.computeRequestId(workspace.value.id, key.value),
+      );
+    }
     await runRequest(koa, {
       requestId: String(koa.state.requestId),
       workspace: workspace.value.id,
@@ -88,7 +101,12 @@
         headers: selectServiceHeaders(koa),
         body: body.value,
       },
-      isRepeatable: isRepeatable(service, { method: koa.method, path }),
+      isRepeatable: repeatable,
+      digest: repeatable ? "" : callIdentity.computeDigest({
+        ...call,
+        service: name,
+        body: body.value,
+      }),
       priority: workspace.value.settings.priority,
       deadlineAtMs: entry.scheduler.now() + deadline.value,
       delivery: "whole",
@@ -125,8 +143,7 @@
   ): (koa: Koa.Context) => Promise<void> {
     return async (koa) => {
       const requestId = requestChecks.checkRequestId(koa, entry.createId);
-      koa.state.requestId = requestId.kind === "valid" ? requestId.value : "";
-      koa.set(requestChecks.requestIdHeader, koa.state.requestId);
+      setRequestId(koa, requestId.kind === "valid" ? requestId.value : "");
       const handled = requestId.kind === "valid"
         ? await handler(koa)
         : requestId;
@@ -164,6 +181,12 @@
   return router;
 }
 
+/** Names the request in all that is written and sent for it. */
+function setRequestId(koa: Koa.Context, requestId: string): void {
+  koa.state.requestId = requestId;
+  koa.set(requestChecks.requestIdHeader, requestId);
+}
+
 /** Headers of a service call that are passed on to the service. */
 function selectServiceHeaders(
   koa: Koa.Context,
--- a/packages/anvilhinge/src/entry/context.ts
+++ b/packages/anvilhinge/src/entry/context.ts
@@ -8,7 +8,9 @@
 import type * as tracing from "../telemetry/tracing.ts";
 import type * as addresses from "./addresses.ts";
 import type * as agentClient from "./agent_client.ts";
+import type * as agentClocks from "./agent_clocks.ts";
 import type * as catalog from "./catalog.ts";
+import type * as claimStore from "./claim_store.ts";
 import type * as upstreams from "./upstreams.ts";
 
 /** Whether the entry takes work; changed only by its life cycle. */
@@ -33,6 +35,10 @@
   readonly catalog: catalog.Catalog;
   readonly upstreams: upstreams.UpstreamTable;
   readonly client: agentClient.AgentClient;
+  readonly clocks: agentClocks.AgentClocks;
+  readonly claims: claimStore.ClaimStore;
+  /** Wall-clock time in milliseconds since 1970. */
+  readonly readWallMs: () => number;
   readonly logger: logger.Logger;
   readonly metrics: metrics.Metrics;
   readonly tracing: tracing.Tracing;
--- a/packages/anvilhinge/src/entry/mod.ts
+++ b/packages/anvilhinge/src/entry/mod.ts
@@ -17,8 +17,10 @@
 import * as tracing from "../telemetry/tracing.ts";
 import * as addresses from "./addresses.ts";
 import * as agentClient from "./agent_client.ts";
+import * as agentClocks from "./agent_clocks.ts";
 import * as callersHttp from "./callers_http.ts";
 import * as catalog from "./catalog.ts";
+import * as claimStore from "./claim_store.ts";
 import type * as context from "./context.ts";
 import * as controlService from "./control_service.ts";
 import * as operatorsHttp from "./operators_http.ts";
@@ -91,6 +93,20 @@
     client: awilix.asFunction(({ abort }: Parts) =>
       agentClient.createAgentClient({ signal: abort.signal })
     ).singleton(),
+    clocks: awilix.asFunction(({ scheduler, client }: Parts) =>
+      agentClocks.createAgentClocks({ clock: scheduler, client })
+    ).singleton(),
+    readWallMs: awilix.asValue(Date.now),
+    claims: awilix.asFunction((parts: Parts) =>
+      claimStore.createClaimStore({
+        store: parts.store,
+        scheduler: parts.scheduler,
+        random: parts.random,
+        readWallMs: parts.readWallMs,
+        half: settings.half,
+        signal: parts.abort.signal,
+      })
+    ).singleton(),
     control: awilix.asFunction(({ upstreams }: Parts) =>
       controlService.createControlService({
         findAssignment: upstreams.findAssignment,
--- a/packages/anvilhinge/src/entry/request_checks.ts
+++ b/packages/anvilhinge/src/entry/request_checks.ts
@@ -14,6 +14,10 @@
 /** Names the request; drawn by the entry when the caller names none. */
 export const requestIdHeader = "X-Request-Id";
 
+/** Makes calls that must not run twice one call, however often it is sent. */
+export const idempotencyKeyHeader = "Idempotency-Key";
+
+const maxIdempotencyKeyLength = 256;
 const requestIdPattern = /^[A-Za-z0-9._-]{8,128}$/;
 const maxDeadlineMs = 600_000;
 const tooLargeStatus = 413;
@@ -189,3 +193,13 @@
       `Header ${requestIdHeader} must have 8 to 128 characters of A-Z, a-z, 0-9, ".", "_", "-"`,
   });
 }
+
+/** Returns the caller's idempotency key; empty when there is none. */
+export function checkIdempotencyKey(koa: Koa.Context): Checked<string> {
+  const value = koa.get(idempotencyKeyHeader);
+  if (value.length <= maxIdempotencyKeyLength) return { kind: "valid", value };
+  return refuse(400, "invalid_header", {
+    message:
+      `Header ${idempotencyKeyHeader} has ${value.length} characters; at most ${maxIdempotencyKeyLength} are allowed`,
+  });
+}
--- a/packages/anvilhinge/src/entry/request_runner.ts
+++ b/packages/anvilhinge/src/entry/request_runner.ts
@@ -78,6 +78,7 @@
       request,
       session: session.createSession(request, {
         clock: entry.scheduler,
+        readWallMs: entry.readWallMs,
         createAttemptId: entry.createId,
         chooseUpstream: (tried) => entry.upstreams.choose(need, tried),
         takeRetry: () => true,
@@ -88,6 +89,8 @@
         },
       }),
       client: entry.client,
+      clocks: entry.clocks,
+      claims: entry.claims,
       scheduler: entry.scheduler,
       sink: writer,
       callerSignal: callerGone.signal,
--- a/packages/anvilhinge/src/entry/runner.ts
+++ b/packages/anvilhinge/src/entry/runner.ts
@@ -1,7 +1,10 @@
 /** Carries out the effects of a session: calls to agents, timers, the answer. */
 import type * as engine from "../ports/engine.ts";
+import type * as frames from "../ports/frames.ts";
 import type * as scheduler from "../ports/scheduler.ts";
 import type * as agentClient from "./agent_client.ts";
+import type * as agentClocks from "./agent_clocks.ts";
+import type * as claimStore from "./claim_store.ts";
 import type * as session from "./session.ts";
 
 /** Where the answer of one request goes. */
@@ -22,12 +25,15 @@
   readonly request: session.Request;
   readonly session: session.Session;
   readonly client: agentClient.AgentClient;
+  readonly clocks: agentClocks.AgentClocks;
+  readonly claims: claimStore.ClaimStore;
   readonly scheduler: scheduler.Scheduler;
   readonly sink: AnswerSink;
   /** Aborts when the caller has gone. */
   readonly callerSignal: AbortSignal;
   /** Headers of each call to an agent, for example the trace context. */
   readonly headers: Readonly<Record<string, string>>;
+  /** Called when an attempt begins; `onObserve` follows when it ends. */
   readonly onDispatch: (upstream: session.Upstream) => void;
   readonly onObserve: (
     observation: Extract<session.SessionEffect, { kind: "observe" }>,
@@ -35,16 +41,32 @@
   readonly onDrop?: () => void;
 }
 
+type Effect<Kind extends session.SessionEffect["kind"]> = Extract<
+  session.SessionEffect,
+  { readonly kind: Kind }
+>;
+
 /** Runs the session until it is done; resolves then. */
 export function runSession(options: RunOptions): Promise<void> {
-  const { request, client } = options;
+  const { request, client, claims, clocks } = options;
   const timers = new Map<session.TimerName, AbortController>();
   /** Streams by attempt id; a resumed stream replaces the one before it. */
   const streams = new Map<string, AbortController>();
+  const events: session.SessionEvent[] = [];
+  let isFeeding = false;
 
   return new Promise((resolve) => {
+    /** Handles one event after the other, also when effects cause more. */
     function feed(event: session.SessionEvent): void {
-      for (const effect of options.session.handle(event)) execute(effect);
+      events.push(event);
+      if (isFeeding) return;
+      isFeeding = true;
+      let next = events.shift();
+      while (next !== undefined) {
+        for (const effect of options.session.handle(next)) execute(effect);
+        next = events.shift();
+      }
+      isFeeding = false;
       if (options.session.isDone()) finish();
     }
 
@@ -68,7 +90,9 @@
         headers: options.headers,
         signal: abort.signal,
         onFrame(frame) {
-          if (!abort.signal.aborted) feed({ kind: "frame", frame });
+          if (abort.signal.aborted) return;
+          if (isOutdated(frame)) clocks.forget(upstream.address);
+          feed({ kind: "frame", frame });
         },
         onEnd(end) {
           if (abort.signal.aborted) return;
@@ -94,63 +118,85 @@
       });
     }
 
-    async function seal(
-      upstream: session.Upstream,
-      attemptId: string,
+    async function prepare(
+      { attemptId, upstream }: Effect<"prepare">,
     ): Promise<void> {
-      const name = { requestId: request.requestId, attemptId };
-      const outcome = await client.seal(name, upstream.address);
+      // What must not run twice asks the agent itself, so that a claim names
+      // the incarnation of this moment.
+      const known = request.isRepeatable
+        ? clocks.find(upstream.address)
+        : undefined;
+      const outcome = known === undefined
+        ? await clocks.fetch(upstream.address)
+        : { kind: "described" as const, ...known };
+      feed({ kind: "prepared", attemptId, outcome });
+    }
+
+    async function claim(
+      { claim, replaces }: Effect<"claim">,
+    ): Promise<void> {
+      const result = await claims.submit({ kind: "claim", claim, replaces });
+      const { attemptId } = claim;
+      feed({ kind: "claim_answered", attemptId, result });
+    }
+
+    async function seal({ upstream, seal }: Effect<"seal">): Promise<void> {
+      const outcome = await client.seal(seal, upstream.address);
+      const { attemptId } = seal;
       feed({ kind: "seal_answered", attemptId, outcome });
     }
 
+    function settle({ attemptId, state, claim }: Effect<"settle">): void {
+      const { workspace, requestId } = request;
+      const name = { workspace, requestId };
+      void claims.submit({ kind: "settle", name, attemptId, state, claim });
+    }
+
+    function cancel({ attemptId, upstream }: Effect<"cancel">): void {
+      streams.get(attemptId)?.abort();
+      const { requestId } = request;
+      client.cancel({ requestId, attemptId }, upstream.address);
+    }
+
     function execute(effect: session.SessionEffect): void {
       switch (effect.kind) {
-        case "dispatch":
+        case "prepare":
           options.onDispatch(effect.upstream);
-          client.run(
+          return void prepare(effect);
+        case "claim":
+          return void claim(effect);
+        case "settle":
+          return settle(effect);
+        case "dispatch":
+          return client.run(
             effect.attempt,
             openStream(effect.attempt.attemptId, effect.upstream),
           );
-          return;
         case "resume":
-          client.resume({
+          return client.resume({
             requestId: request.requestId,
             attemptId: effect.attemptId,
             workspace: request.workspace,
             fromSequence: effect.fromSequence,
           }, openStream(effect.attemptId, effect.upstream));
-          return;
         case "seal":
-          void seal(effect.upstream, effect.attemptId);
-          return;
+          return void seal(effect);
         case "cancel":
-          streams.get(effect.attemptId)?.abort();
-          client.cancel({
-            requestId: request.requestId,
-            attemptId: effect.attemptId,
-          }, effect.upstream.address);
-          return;
+          return cancel(effect);
         case "head":
-          options.sink.head(effect.head, effect);
-          return;
+          return options.sink.head(effect.head, effect);
         case "data":
-          options.sink.data(effect.data, effect.sequence);
-          return;
+          return options.sink.data(effect.data, effect.sequence);
         case "end":
-          options.sink.end();
-          return;
+          return options.sink.end();
         case "answer":
-          options.sink.answer(effect.answer);
-          return;
+          return options.sink.answer(effect.answer);
         case "set_timer":
-          setTimer(effect.name, effect.delayMs);
-          return;
+          return setTimer(effect.name, effect.delayMs);
         case "observe":
-          options.onObserve(effect);
-          return;
+          return options.onObserve(effect);
         case "drop":
-          options.onDrop?.();
-          return;
+          return options.onDrop?.();
       }
     }
 
@@ -162,3 +208,9 @@
     feed({ kind: "arrived" });
   });
 }
+
+/** Whether a refusal shows that what is known of the agent is out of date. */
+function isOutdated({ body }: frames.Frame): boolean {
+  return body.kind === "refused" &&
+    (body.reason === "wrong_incarnation" || body.reason === "expired");
+}
--- a/packages/anvilhinge/src/entry/session.ts
+++ b/packages/anvilhinge/src/entry/session.ts
@@ -1,466 +1,478 @@
 /**
  * One caller's request at an entry, from arrival to its final answer: chooses
- * upstreams, follows the frames of the present attempt, retries work that did
- * not run, resumes a broken stream on the same generation, and seals attempts
- * whose start is uncertain. Deterministic: events in, effects out.
+ * upstreams, claims what must not run twice, follows the frames of the present
+ * attempt, retries work that did not run, resumes a broken stream on the same
+ * generation, and seals attempts whose start is uncertain. Deterministic:
+ * events in, effects out.
  */
-import type * as clock from "@anvilhinge/coordination/clock";
-import type * as engine from "../ports/engine.ts";
+import type * as claims from "@anvilhinge/coordination/claims";
 import type * as frames from "../ports/frames.ts";
+import * as answerBuffer from "./answer_buffer.ts";
+import * as attemptState from "./attempt_state.ts";
+import type * as types from "./session_types.ts";
 
-/** An upstream that a request may be sent to. */
-export interface Upstream {
-  /** `<group>/<rank>`. */
-  readonly id: string;
-  readonly group: string;
-  readonly rank: number;
-  /** Address of the agent as `host:port`. */
-  readonly address: string;
-  readonly half: string;
-  readonly epoch: number;
-}
-
-export type Choice =
-  | { readonly kind: "chosen"; readonly upstream: Upstream }
-  | {
-    readonly kind: "none";
-    readonly reason: string;
-    readonly retryAfterMs: number;
-  };
-
-/** The request as the caller sent it. */
-export interface Request {
-  readonly requestId: string;
-  readonly workspace: string;
-  readonly work: frames.Work;
-  /** False when a second run would have a second effect. */
-  readonly isRepeatable: boolean;
-  readonly priority: number;
-  /** Instant on the clock by which the caller wants the answer. */
-  readonly deadlineAtMs: number;
-  /**
-   * `streamed` delivers data as it arrives; `whole` holds it back until the
-   * end frame, so that an answer that breaks can be retried.
-   */
-  readonly delivery: "streamed" | "whole";
-}
-
-/** A point within the answer of an attempt that an earlier entry followed. */
-export interface ResumePoint {
-  readonly upstream: Upstream;
-  readonly attemptId: string;
-  readonly fromSequence: number;
-}
-
-export interface SessionOptions {
-  readonly clock: clock.Clock;
-  readonly createAttemptId: () => string;
-  /** Chooses an upstream that is not in `tried`, if there is one. */
-  readonly chooseUpstream: (tried: ReadonlySet<string>) => Choice;
-  /** Takes one retry from the budget; false when the budget is used up. */
-  readonly takeRetry: () => boolean;
-  /**
-   * Most attempts of one request.
-   * @default 4
-   */
-  readonly maxAttempts?: number;
-  /**
-   * Most resumes of one attempt after its stream broke.
-   * @default 3
-   */
-  readonly maxResumes?: number;
-  /**
-   * Longest silence of a running attempt before its stream counts as broken,
-   * in milliseconds.
-   * @default 5000
-   */
-  readonly stallMs?: number;
-  /**
-   * Most bytes of a whole answer that are held back; a longer answer is
-   * delivered as it arrives.
-   * @default 8388608
-   */
-  readonly wholeAnswerLimitBytes?: number;
-  /** Continues this attempt instead of starting one. */
-  readonly resumePoint?: ResumePoint;
-}
-
-export type SessionEvent =
-  | { readonly kind: "arrived" }
-  | { readonly kind: "frame"; readonly frame: frames.Frame }
-  /** The call to the agent broke; `sent` is false when nothing left this node. */
-  | {
-    readonly kind: "lost";
-    readonly attemptId: string;
-    readonly sent: boolean;
-    readonly message: string;
-  }
-  | {
-    readonly kind: "seal_answered";
-    readonly attemptId: string;
-    readonly outcome: frames.SealOutcome | "unreachable";
-  }
-  | { readonly kind: "timer"; readonly name: TimerName }
-  | { readonly kind: "caller_gone" };
-
-export type TimerName = "deadline" | "stall";
-
-/** The last word to a caller whose answer could not be completed. */
-export type FinalAnswer =
-  /** The request did not run. */
-  | {
-    readonly kind: "not_run";
-    readonly reason: string;
-    readonly retryAfterMs: number;
-  }
-  /** The request ran in part, or its answer was cut; it may be asked again. */
-  | { readonly kind: "failed"; readonly message: string }
-  /** Whether the request ran is not known; ask later with the request id. */
-  | { readonly kind: "unknown"; readonly message: string }
-  | { readonly kind: "deadline_exceeded"; readonly message: string };
-
-export type SessionEffect =
-  | {
-    readonly kind: "dispatch";
-    readonly upstream: Upstream;
-    readonly attempt: frames.Attempt;
-  }
-  | {
-    readonly kind: "resume";
-    readonly upstream: Upstream;
-    readonly attemptId: string;
-    readonly fromSequence: number;
-  }
-  | {
-    readonly kind: "seal";
-    readonly upstream: Upstream;
-    readonly attemptId: string;
-  }
-  | {
-    readonly kind: "cancel";
-    readonly upstream: Upstream;
-    readonly attemptId: string;
-  }
-  | {
-    readonly kind: "head";
-    readonly head: engine.AnswerHead;
-    readonly upstream: Upstream;
-    readonly attemptId: string;
-  }
-  | {
-    readonly kind: "data";
-    readonly data: Uint8Array;
-    readonly sequence: number;
-  }
-  | { readonly kind: "end" }
-  | { readonly kind: "answer"; readonly answer: FinalAnswer }
-  | {
-    readonly kind: "set_timer";
-    readonly name: TimerName;
-    readonly delayMs: number;
-  }
-  /** An attempt ended; feeds health and load of the upstream. */
-  | {
-    readonly kind: "observe";
-    readonly upstream: Upstream;
-    readonly outcome: "completed" | "refused" | "failed" | "lost";
-    readonly load?: engine.EngineLoad;
-  }
-  /** A frame that does not continue the present attempt was dropped. */
-  | { readonly kind: "drop"; readonly frame: frames.Frame };
+export type * from "./session_types.ts";
 
-/** State machine of one request. */
-export interface Session {
-  handle(event: SessionEvent): readonly SessionEffect[];
-  isDone(): boolean;
-}
-
-interface Running {
-  readonly attemptId: string;
-  readonly upstream: Upstream;
-  nextSequence: number;
-  resumes: number;
-}
+type Effects = types.SessionEffect[];
+type Body<Kind extends frames.FrameBody["kind"]> = Extract<
+  frames.FrameBody,
+  { readonly kind: Kind }
+>;
 
 const defaultMaxAttempts = 4;
 const defaultMaxResumes = 3;
 const defaultStallMs = 5_000;
 const defaultWholeAnswerLimitBytes = 8 * 1024 * 1024;
+/** Age below which another entry is taken to be at work on a claim. */
+const freshClaimMs = 2_000;
+const claimRetryMs = 1_000;
 
 /** Creates the state machine of one request; it acts on its first event. */
 export function createSession(
-  request: Request,
-  options: SessionOptions,
-): Session {
+  request: types.Request,
+  options: types.SessionOptions,
+): types.Session {
   const maxAttempts = options.maxAttempts ?? defaultMaxAttempts;
   const maxResumes = options.maxResumes ?? defaultMaxResumes;
   const stallMs = options.stallMs ?? defaultStallMs;
-  const wholeAnswerLimitBytes = options.wholeAnswerLimitBytes ??
-    defaultWholeAnswerLimitBytes;
+  const buffer = answerBuffer.createAnswerBuffer({
+    isStreamed: request.delivery === "streamed" ||
+      options.resumePoint !== undefined,
+    limitBytes: options.wholeAnswerLimitBytes ?? defaultWholeAnswerLimitBytes,
+  });
+  const recorder = answerBuffer.createAnswerRecorder();
   const tried = new Set<string>();
   let attempts = 0;
-  let current: Running | undefined;
-  /** Head and data that were received and not yet delivered. */
-  let pending: SessionEffect[] = [];
-  let pendingBytes = 0;
-  let hasDelivered = false;
+  let current: attemptState.AttemptState | undefined;
+  /** Claimed attempt of which a proof says that it never runs. */
+  let unrunAttemptId: string | undefined;
+  /** Whether any earlier attempt of this request ran. */
+  let ran: types.Ran = "no";
   let isDone = false;
 
-  function finish(final: FinalAnswer): SessionEffect[] {
+  function raiseRan(found: types.Ran): void {
+    if (found === "yes" || ran === "no") ran = found;
+  }
+
+  function finish(final: types.FinalAnswer): Effects {
     isDone = true;
     current = undefined;
     return [{ kind: "answer", answer: final }];
   }
 
-  function startFirst(): SessionEffect[] {
+  /** Finishes a request of which the last attempt did not run. */
+  function finishNotRun(reason: string, retryAfterMs: number): Effects {
+    if (ran !== "no") return finish({ kind: "failed", message: reason, ran });
+    const settled: Effects = unrunAttemptId === undefined ? [] : [{
+      kind: "settle",
+      attemptId: unrunAttemptId,
+      state: { kind: "not_run" },
+    }];
+    return [...settled, ...finish({ kind: "not_run", reason, retryAfterMs })];
+  }
+
+  function finishUnknown(message: string, retryAfterMs = 0): Effects {
+    return finish({ kind: "unknown", message, retryAfterMs });
+  }
+
+  function observe(
+    state: attemptState.AttemptState,
+    outcome: "completed" | "refused" | "failed" | "lost",
+    { load }: Pick<Body<"end">, "load"> | { readonly load?: undefined } = {},
+  ): Effects {
+    if (state.isObserved) return [];
+    state.isObserved = true;
+    return [{ kind: "observe", upstream: state.upstream, outcome, load }];
+  }
+
+  function watchStall(): types.SessionEffect {
+    return { kind: "set_timer", name: "stall", delayMs: stallMs };
+  }
+
+  function startFirst(): Effects {
     const point = options.resumePoint;
     if (point === undefined) return startAttempt();
-    const { upstream, attemptId, fromSequence } = point;
     attempts = maxAttempts;
-    hasDelivered = true;
+    ran = "yes";
     current = {
-      attemptId,
-      upstream,
-      nextSequence: fromSequence,
-      resumes: 0,
+      ...attemptState.createAttemptState(point.attemptId, point.upstream),
+      phase: "sent",
+      nextSequence: point.fromSequence,
+      isStarted: true,
+      isObserved: true,
     };
-    return [
-      { kind: "resume", upstream, attemptId, fromSequence },
-      { kind: "set_timer", name: "stall", delayMs: stallMs },
-    ];
+    return sendResume(current);
   }
 
-  function startAttempt(): SessionEffect[] {
-    const leftMs = request.deadlineAtMs - options.clock.now();
-    if (leftMs <= 0) {
-      return finish({
-        kind: "not_run",
-        reason: "The deadline passed before an upstream was found",
-        retryAfterMs: 0,
-      });
+  function startAttempt(): Effects {
+    if (request.deadlineAtMs <= options.clock.now()) {
+      const reason = "The deadline passed before an upstream was found";
+      return finishNotRun(reason, 0);
     }
     const choice = options.chooseUpstream(tried);
     if (choice.kind === "none") {
-      return finish({
-        kind: "not_run",
-        reason: choice.reason,
-        retryAfterMs: choice.retryAfterMs,
-      });
+      return finishNotRun(choice.reason, choice.retryAfterMs);
     }
-    const upstream = choice.upstream;
+    const { upstream } = choice;
     attempts += 1;
     tried.add(upstream.id);
     const attemptId = options.createAttemptId();
-    pending = [];
-    pendingBytes = 0;
-    current = { attemptId, upstream, nextSequence: 0, resumes: 0 };
-    const attempt: frames.Attempt = {
-      requestId: request.requestId,
-      attemptId,
-      workspace: request.workspace,
-      half: upstream.half,
-      epoch: upstream.epoch,
-      group: upstream.group,
-      rank: upstream.rank,
-      priority: request.priority,
-      deadlineMs: leftMs,
-      incarnation: "",
-      work: request.work,
-    };
+    buffer.restart();
+    recorder.restart();
+    current = attemptState.createAttemptState(attemptId, upstream);
+    return [{ kind: "prepare", upstream, attemptId }];
+  }
+
+  function handlePrepared(
+    state: attemptState.AttemptState,
+    outcome: types.Prepared,
+  ): Effects {
+    if (outcome.kind === "unreachable") {
+      const reason = `Upstream ${state.upstream.id} can't be reached`;
+      return [...observe(state, "lost"), ...retryNotRun(reason, 0)];
+    }
+    state.incarnation = outcome.incarnation;
+    state.startByMs = outcome.nowMs + attemptState.startAllowanceMs;
+    if (request.isRepeatable) return dispatch(state);
+    state.phase = "claiming";
+    return [{
+      kind: "claim",
+      claim: attemptState.buildClaim(request, state),
+      replaces: unrunAttemptId,
+    }];
+  }
+
+  function dispatch(state: attemptState.AttemptState): Effects {
+    state.phase = "sent";
+    const deadlineMs = request.deadlineAtMs - options.clock.now();
+    const attempt = attemptState.buildAttempt(request, state, { deadlineMs });
     return [
-      { kind: "dispatch", upstream, attempt },
-      { kind: "set_timer", name: "stall", delayMs: stallMs },
+      { kind: "dispatch", upstream: state.upstream, attempt },
+      watchStall(),
+    ];
+  }
+
+  function handleClaimAnswer(
+    state: attemptState.AttemptState,
+    result: claims.ClaimResult,
+  ): Effects {
+    if (result.kind === "claimed") return dispatch(state);
+    const unclaimed = observe(state, "completed");
+    switch (result.kind) {
+      case "exists":
+        return [...unclaimed, ...handleEarlier(result.claim)];
+      case "other_body":
+        return [...unclaimed, ...finish({ kind: "other_body" })];
+      case "full":
+        return [
+          ...unclaimed,
+          ...finishNotRun("Too many calls are on record", claimRetryMs),
+        ];
+      case "unavailable":
+      case "settled":
+      case "missing":
+        // The write may yet land; this record fences it.
+        return [
+          ...unclaimed,
+          {
+            kind: "settle",
+            attemptId: state.attemptId,
+            state: { kind: "not_run" },
+            claim: attemptState.buildClaim(request, state),
+          },
+          ...finishNotRun("The call could not be put on record", claimRetryMs),
+        ];
+    }
+  }
+
+  /** Goes on when another attempt of the same request is on record. */
+  function handleEarlier(claim: claims.Claim): Effects {
+    const { state } = claim;
+    switch (state.kind) {
+      case "finished":
+        return deliverRecorded(claim, state.answer);
+      case "not_run":
+        return finishNotRun("Another entry settled this request", claimRetryMs);
+      case "claimed": {
+        const ageMs = options.readWallMs() - claim.changedAtMs;
+        if (ageMs < freshClaimMs) {
+          return finishUnknown("The request is in progress", claimRetryMs);
+        }
+        current = attemptState.createClaimedState(claim);
+        return sendSeal(current);
+      }
+    }
+  }
+
+  function deliverRecorded(
+    { upstream, attemptId }: claims.Claim,
+    { status, headers, body }: claims.RecordedAnswer,
+  ): Effects {
+    if (body === undefined) return finish({ kind: "already_run", status });
+    isDone = true;
+    current = undefined;
+    const data = Buffer.from(body, "base64");
+    return [
+      { kind: "head", head: { status, headers }, upstream, attemptId },
+      { kind: "data", data, sequence: 1 },
+      { kind: "end" },
     ];
   }
 
   /** Goes on after an attempt that surely did not run. */
-  function retryNotRun(reason: string, retryAfterMs: number): SessionEffect[] {
+  function retryNotRun(reason: string, retryAfterMs: number): Effects {
     current = undefined;
     const mayRetry = attempts < maxAttempts && options.takeRetry();
-    return mayRetry
-      ? startAttempt()
-      : finish({ kind: "not_run", reason, retryAfterMs });
+    return mayRetry ? startAttempt() : finishNotRun(reason, retryAfterMs);
   }
 
   /** Goes on after an attempt that ran, or may have run, without completing. */
-  function retryFailed(message: string): SessionEffect[] {
+  function retryUncertain(
+    state: attemptState.AttemptState,
+    message: string,
+  ): Effects {
+    if (!request.isRepeatable) return finishUnknown(message);
+    raiseRan(state.isStarted ? "yes" : "unknown");
     current = undefined;
-    const mayRetry = request.isRepeatable && !hasDelivered &&
-      attempts < maxAttempts && options.takeRetry();
-    return mayRetry ? startAttempt() : finish({ kind: "failed", message });
+    const mayRetry = !buffer.hasDelivered() && attempts < maxAttempts &&
+      options.takeRetry();
+    return mayRetry ? startAttempt() : finish({ kind: "failed", message, ran });
   }
 
-  function takePending(): SessionEffect[] {
-    const taken = pending;
-    pending = [];
-    pendingBytes = 0;
-    hasDelivered = true;
-    return taken;
+  function sendResume(state: attemptState.AttemptState): Effects {
+    state.phase = "sent";
+    const { upstream, attemptId, nextSequence } = state;
+    return [
+      { kind: "resume", upstream, attemptId, fromSequence: nextSequence },
+      watchStall(),
+    ];
   }
 
-  function receiveData(data: Uint8Array, sequence: number): SessionEffect[] {
-    pending.push({ kind: "data", data, sequence });
-    pendingBytes += data.byteLength;
-    const mustDeliver = request.delivery === "streamed" || hasDelivered ||
-      pendingBytes > wholeAnswerLimitBytes;
-    return mustDeliver ? takePending() : [];
+  function sendSeal(state: attemptState.AttemptState): Effects {
+    state.phase = "sealing";
+    const seal = attemptState.buildSeal(request, state);
+    return [{ kind: "seal", upstream: state.upstream, seal }];
   }
 
-  function handleLost(running: Running, message: string): SessionEffect[] {
-    const { upstream, attemptId } = running;
-    const observed: SessionEffect = {
-      kind: "observe",
-      upstream,
-      outcome: "lost",
-    };
-    if (running.nextSequence > 0 && running.resumes < maxResumes) {
-      running.resumes += 1;
-      return [
-        {
-          kind: "resume",
-          upstream,
-          attemptId,
-          fromSequence: running.nextSequence,
-        },
-        { kind: "set_timer", name: "stall", delayMs: stallMs },
-      ];
+  /** Goes on after the stream of frames broke off or fell silent. */
+  function handleBroken(
+    state: attemptState.AttemptState,
+    message: string,
+  ): Effects {
+    const isFollowable = state.isStarted && state.resumes < maxResumes;
+    if (isFollowable) {
+      state.resumes += 1;
+      return sendResume(state);
     }
-    if (request.isRepeatable) {
-      return [
-        observed,
-        { kind: "cancel", upstream, attemptId },
-        ...retryFailed(message),
-      ];
+    const observed = observe(state, "lost");
+    if (!request.isRepeatable) {
+      return state.isStarted
+        ? [...observed, ...finishUnknown(message)]
+        : [...observed, ...sendSeal(state)];
     }
-    if (running.nextSequence > 0) {
-      return [observed, ...finish({ kind: "unknown", message })];
+    const { upstream, attemptId } = state;
+    return [
+      ...observed,
+      { kind: "cancel", upstream, attemptId },
+      ...retryUncertain(state, message),
+    ];
+  }
+
+  function handleLost(
+    state: attemptState.AttemptState,
+    event: Extract<types.SessionEvent, { readonly kind: "lost" }>,
+  ): Effects {
+    if (state.phase !== "sent") return [];
+    // A call to resume that was not sent says nothing about the attempt.
+    if (event.sent || state.isStarted) {
+      return handleBroken(state, event.message);
     }
-    return [observed, { kind: "seal", upstream, attemptId }];
+    unrunAttemptId = state.attemptId;
+    return [...observe(state, "lost"), ...retryNotRun(event.message, 0)];
   }
 
-  function handleFrame(frame: frames.Frame): SessionEffect[] {
-    const running = current;
+  function handleStall(): Effects {
+    if (current?.phase !== "sent") return [];
+    // Slow work that must not run twice goes on as long as its agent says so.
+    return request.isRepeatable
+      ? handleBroken(current, "The upstream sent nothing for too long")
+      : sendSeal(current);
+  }
+
+  function handleFrame(frame: frames.Frame): Effects {
+    const state = current;
+    const isOpen = state?.phase === "sent" || state?.phase === "sealing";
     if (
-      running === undefined || frame.requestId !== request.requestId ||
-      frame.attemptId !== running.attemptId ||
-      frame.sequence < running.nextSequence
+      state === undefined || !isOpen ||
+      frame.requestId !== request.requestId ||
+      frame.attemptId !== state.attemptId ||
+      frame.sequence < state.nextSequence
     ) {
       return [{ kind: "drop", frame }];
     }
-    if (frame.sequence > running.nextSequence) {
-      return [
-        { kind: "drop", frame },
-        ...handleLost(running, "Frames of the answer are missing"),
-      ];
+    if (
+      frame.sequence > state.nextSequence || !attemptState.isInPlace(frame)
+    ) {
+      const dropped: types.SessionEffect = { kind: "drop", frame };
+      if (state.phase === "sealing") return [dropped];
+      state.isStarted = true;
+      return [dropped, ...handleBroken(state, "The answer has gaps")];
     }
-    running.nextSequence += 1;
-    return applyFrame(running, frame);
+    state.nextSequence += 1;
+    return applyFrame(state, frame);
   }
 
-  function applyFrame(running: Running, frame: frames.Frame): SessionEffect[] {
-    const { upstream, attemptId } = running;
-    const body = frame.body;
+  function applyFrame(
+    state: attemptState.AttemptState,
+    { body, sequence }: frames.Frame,
+  ): Effects {
+    const { upstream, attemptId } = state;
     switch (body.kind) {
       case "accepted":
-        // Held back until the first data, so that work that fails before it
-        // can still be retried elsewhere.
-        pending = [{ kind: "head", head: body.head, upstream, attemptId }];
-        return [{ kind: "set_timer", name: "stall", delayMs: stallMs }];
+        state.isStarted = true;
+        recorder.setHead(body.head);
+        buffer.add({ kind: "head", head: body.head, upstream, attemptId });
+        return [watchStall()];
       case "chunk":
+        recorder.addData(body.data);
         return [
-          ...receiveData(body.data, frame.sequence),
-          { kind: "set_timer", name: "stall", delayMs: stallMs },
+          ...buffer.add({ kind: "data", data: body.data, sequence }),
+          watchStall(),
         ];
       case "end":
-        if (body.frameCount !== frame.sequence + 1) {
-          running.nextSequence -= 1;
-          return handleLost(running, "The end frame does not match the answer");
-        }
-        isDone = true;
-        current = undefined;
-        return [
-          { kind: "observe", upstream, outcome: "completed", load: body.load },
-          ...takePending(),
-          { kind: "end" },
-        ];
+        return handleEnd(state, body);
       case "refused":
-        return [
-          { kind: "observe", upstream, outcome: "refused", load: body.load },
-          ...retryNotRun(
-            `Upstream ${upstream.id} refused: ${body.reason}`,
-            body.retryAfterMs,
-          ),
-        ];
+        return handleRefused(state, body);
       case "failed":
+        state.isStarted = true;
         return [
-          { kind: "observe", upstream, outcome: "failed", load: body.load },
-          ...retryFailed(body.message),
+          ...observe(state, "failed", body),
+          ...retryUncertain(state, body.message),
         ];
       case "not_held":
-        return handleNotHeld(upstream);
+        return [
+          ...observe(state, "lost"),
+          ...retryUncertain(
+            state,
+            `Upstream ${upstream.id} no longer holds the answer`,
+          ),
+        ];
     }
   }
 
-  function handleNotHeld(upstream: Upstream): SessionEffect[] {
-    const message = `Upstream ${upstream.id} no longer holds the answer`;
-    const observed: SessionEffect = {
-      kind: "observe",
-      upstream,
-      outcome: "lost",
-    };
-    if (request.isRepeatable) return [observed, ...retryFailed(message)];
-    return [observed, ...finish({ kind: "unknown", message })];
+  function handleEnd(
+    state: attemptState.AttemptState,
+    body: Body<"end">,
+  ): Effects {
+    isDone = true;
+    current = undefined;
+    const settled: Effects = request.isRepeatable ? [] : [{
+      kind: "settle",
+      attemptId: state.attemptId,
+      state: { kind: "finished", answer: recorder.build() },
+    }];
+    return [
+      ...observe(state, "completed", body),
+      ...settled,
+      ...buffer.takeAll(),
+      { kind: "end" },
+    ];
+  }
+
+  function handleRefused(
+    state: attemptState.AttemptState,
+    body: Body<"refused">,
+  ): Effects {
+    const observed = observe(state, "refused", body);
+    const reason = `Upstream ${state.upstream.id} refused: ${body.reason}`;
+    // Says nothing about the incarnation that the attempt was meant for.
+    if (body.reason === "wrong_incarnation") {
+      return [...observed, ...retryUncertain(state, reason)];
+    }
+    unrunAttemptId = state.attemptId;
+    return [...observed, ...retryNotRun(reason, body.retryAfterMs)];
   }
 
   function handleSealAnswer(
-    running: Running,
-    outcome: frames.SealOutcome | "unreachable",
-  ): SessionEffect[] {
-    const { upstream, attemptId } = running;
+    state: attemptState.AttemptState,
+    outcome: types.SealAnswer,
+  ): Effects {
+    const { upstream, attemptId } = state;
     switch (outcome) {
       case "sealed":
-        return retryNotRun(`Upstream ${upstream.id} did not start it`, 0);
+        unrunAttemptId = attemptId;
+        return [
+          ...observe(state, "lost"),
+          ...retryNotRun(`Upstream ${upstream.id} did not start it`, 0),
+        ];
       case "running":
       case "finished":
-        running.resumes += 1;
+        state.isStarted = true;
+        return sendResume(state);
+      case "unknown":
         return [
-          {
-            kind: "resume",
-            upstream,
-            attemptId,
-            fromSequence: running.nextSequence,
-          },
-          { kind: "set_timer", name: "stall", delayMs: stallMs },
+          ...observe(state, "lost"),
+          ...finishUnknown(`Upstream ${upstream.id} has restarted since`),
         ];
       case "unreachable":
-        return finish({
-          kind: "unknown",
-          message: `Contact with upstream ${upstream.id} was lost`,
-        });
+        return [
+          ...observe(state, "lost"),
+          ...finishUnknown(`Contact with upstream ${upstream.id} was lost`),
+        ];
     }
   }
 
-  function handleDeadline(): SessionEffect[] {
-    const running = current;
+  function handleDeadline(): Effects {
     const message = "The deadline passed before the answer was complete";
-    if (running === undefined) {
-      return finish({ kind: "deadline_exceeded", message });
+    const state = current;
+    if (state === undefined) return [];
+    if (state.phase === "preparing" || state.phase === "claiming") {
+      return abortUnsent(state, message);
     }
-    const { upstream, attemptId } = running;
-    if (!request.isRepeatable) return finish({ kind: "unknown", message });
+    const observed = observe(state, "lost");
+    if (!request.isRepeatable) return [...observed, ...finishUnknown(message)];
+    const { upstream, attemptId } = state;
+    raiseRan(state.isStarted ? "yes" : "unknown");
     return [
+      ...observed,
       { kind: "cancel", upstream, attemptId },
-      ...finish({ kind: "deadline_exceeded", message }),
+      ...finish({ kind: "deadline_exceeded", message, ran }),
     ];
   }
 
-  function handleCallerGone(): SessionEffect[] {
-    const running = current;
+  /** Ends a request whose present attempt was not sent. */
+  function abortUnsent(
+    state: attemptState.AttemptState,
+    message: string,
+  ): Effects {
+    if (state.phase === "claiming") unrunAttemptId = state.attemptId;
+    return [...observe(state, "completed"), ...finishNotRun(message, 0)];
+  }
+
+  function handleCallerGone(): Effects {
+    const state = current;
+    if (state === undefined) return [];
+    const isUnsent = state.phase === "preparing" || state.phase === "claiming";
+    if (isUnsent) return abortUnsent(state, "The caller has gone");
+    // What must not run twice is followed to its end for the record.
+    if (!request.isRepeatable) return [];
     isDone = true;
     current = undefined;
-    if (running === undefined || !request.isRepeatable) return [];
-    const { upstream, attemptId } = running;
-    return [{ kind: "cancel", upstream, attemptId }];
+    const { upstream, attemptId } = state;
+    return [
+      ...observe(state, "completed"),
+      { kind: "cancel", upstream, attemptId },
+    ];
+  }
+
+  function isCurrent(attemptId: string, phase: attemptState.Phase): boolean {
+    return current?.attemptId === attemptId && current.phase === phase;
+  }
+
+  function startRequest(): Effects {
+    const leftMs = request.deadlineAtMs - options.clock.now();
+    const delayMs = Math.max(0, leftMs);
+    return [{ kind: "set_timer", name: "deadline", delayMs }, ...startFirst()];
   }
 
   return {
@@ -473,33 +485,28 @@
       }
       switch (event.kind) {
         case "arrived":
-          return [
-            {
-              kind: "set_timer",
-              name: "deadline",
-              delayMs: Math.max(0, request.deadlineAtMs - options.clock.now()),
-            },
-            ...startFirst(),
-          ];
+          return startRequest();
+        case "prepared":
+          return current !== undefined &&
+              isCurrent(event.attemptId, "preparing")
+            ? handlePrepared(current, event.outcome)
+            : [];
+        case "claim_answered":
+          return current !== undefined && isCurrent(event.attemptId, "claiming")
+            ? handleClaimAnswer(current, event.result)
+            : [];
         case "frame":
           return handleFrame(event.frame);
         case "lost":
-          if (event.attemptId !== current?.attemptId) return [];
-          if (!event.sent) {
-            return [
-              { kind: "observe", upstream: current.upstream, outcome: "lost" },
-              ...retryNotRun(event.message, 0),
-            ];
-          }
-          return handleLost(current, event.message);
+          return current?.attemptId === event.attemptId
+            ? handleLost(current, event)
+            : [];
         case "seal_answered":
-          if (event.attemptId !== current?.attemptId) return [];
-          return handleSealAnswer(current, event.outcome);
+          return current !== undefined && isCurrent(event.attemptId, "sealing")
+            ? handleSealAnswer(current, event.outcome)
+            : [];
         case "timer":
-          if (event.name === "deadline") return handleDeadline();
-          return current === undefined
-            ? []
-            : handleLost(current, "The upstream sent nothing for too long");
+          return event.name === "deadline" ? handleDeadline() : handleStall();
         case "caller_gone":
           return handleCallerGone();
       }
--- a/packages/anvilhinge/src/ports/frames.ts
+++ b/packages/anvilhinge/src/ports/frames.ts
@@ -16,7 +16,9 @@
   | "wrong_incarnation"
   | "wrong_group"
   /** The process beside the agent took no work. */
-  | "engine_unavailable";
+  | "engine_unavailable"
+  /** The call arrived after the instant by which it had to start. */
+  | "expired";
 
 export type FrameBody =
   | {
@@ -83,10 +85,34 @@
   readonly priority: number;
   /** Time left in milliseconds. */
   readonly deadlineMs: number;
-  /** Incarnation of the agent that a claim names; empty = any. */
+  /** Incarnation of the agent that may run it; all others refuse. */
   readonly incarnation: string;
+  /** Instant on the agent's clock after which it must not start. */
+  readonly startByMs: number;
+  /** False when a second run would have a second effect. */
+  readonly isRepeatable: boolean;
   readonly work: Work;
 }
 
-/** What a seal found: whether the attempt can still start. */
-export type SealOutcome = "sealed" | "running" | "finished";
+/** An agent's incarnation and its clock, on which attempts expire. */
+export interface AgentDescription {
+  readonly incarnation: string;
+  readonly nowMs: number;
+}
+
+/** Names one attempt together with the limits of its start. */
+export interface SealRequest {
+  readonly requestId: string;
+  readonly attemptId: string;
+  readonly incarnation: string;
+  readonly startByMs: number;
+}
+
+/**
+ * What a seal found. `sealed`: it did not start and never will. `unknown`: the
+ * agent has restarted, or its record is past retention.
+ */
+export type SealOutcome = "sealed" | "running" | "finished" | "unknown";
+
+/** How long after its description an attempt may start, in milliseconds. */
+export const startWindowMs = 10_000;
--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -4,6 +4,9 @@
  * their own.
  */
 export * as assignment from "./assignment.ts";
+export * as claimCommitter from "./claim_committer.ts";
+export * as claimShard from "./claim_shard.ts";
+export * as claims from "./claims.ts";
 export * as clock from "./clock.ts";
 export * as random from "./random.ts";
 export * as rendezvous from "./rendezvous.ts";
