--- /dev/null
+++ b/packages/anvilhinge/src/dev/resume_test.ts
@@ -0,0 +1,125 @@
+import * as nodePath from "node:path";
+import * as random from "@anvilhinge/coordination/random";
+import * as undici from "undici";
+import * as systemScheduler from "../adapters/system_scheduler.ts";
+import * as playground from "../settings/playground.ts";
+import * as answer from "../stand_ins/answer.ts";
+import * as system from "./system.ts";
+
+const root = nodePath.join(__dirname, "../../../../playground/association");
+const body = {
+  model: "drafting",
+  stream: true,
+  messages: [{ role: "user", content: "a summary of the agenda, please" }],
+};
+const abort = new AbortController();
+let running: system.RunningSystem;
+
+beforeAll(async () => {
+  const loaded = await playground.loadPlayground(root);
+  if (loaded.kind === "invalid") throw new Error(loaded.problems[0]?.message);
+  running = await system.startSystem({
+    objects: loaded.settings,
+    scheduler: systemScheduler.createSystemScheduler(),
+    random: random.createRandomSource(1),
+    signal: abort.signal,
+    stepMs: 10,
+    addressAnswerTtlMs: 100,
+    logLevel: "error",
+  });
+});
+
+afterAll(() => abort.abort());
+
+interface Part {
+  readonly status: number;
+  readonly requestId: string;
+  readonly text: string;
+}
+
+/** Sends the chat and reads until the stream ends or `onText` aborts it. */
+async function readChat(
+  entry: number,
+  options: {
+    readonly headers?: Readonly<Record<string, string>>;
+    readonly onText?: (text: string) => void;
+  } = {},
+): Promise<Part> {
+  const response = await undici.request(
+    `http://${running.entries[entry]!.address}/v1/chat/completions`,
+    {
+      method: "POST",
+      headers: {
+        "content-type": "application/json",
+        "x-workspace": "drafting/milan",
+        ...options.headers,
+      },
+      body: JSON.stringify(body),
+    },
+  );
+  const status = response.statusCode;
+  const requestId = String(response.headers["x-request-id"]);
+  let text = "";
+  try {
+    for await (const chunk of response.body) {
+      text += String(chunk);
+      options.onText?.(text);
+    }
+  } catch {
+    // The entry died; what was read so far counts.
+  }
+  // A part of an event at the end of a broken stream is not an event.
+  text = text.slice(0, text.lastIndexOf("\n\n") + 2);
+  return { status, requestId, text };
+}
+
+function listIds(text: string): readonly string[] {
+  return [...text.matchAll(/^id: (.*)$/gm)].map((match) => match[1]!);
+}
+
+function readTokens(text: string): readonly string[] {
+  return [...text.matchAll(/^data: (\{.*)$/gm)]
+    .map((match) => JSON.parse(match[1]!).choices?.[0]?.delta?.content ?? "")
+    .filter((token) => token !== "");
+}
+
+async function waitForAnswer(): Promise<void> {
+  for (let count = 0; count < 100; count += 1) {
+    if ((await readChat(0)).status === 200) return;
+    await new Promise((resolve) => setTimeout(resolve, 50));
+  }
+}
+
+test("a stream goes on at another entry after the first has died", async () => {
+  await waitForAnswer();
+  const first = await readChat(0, {
+    onText(text) {
+      if (listIds(text).length >= 4) running.entries[0]!.kill();
+    },
+  });
+  const ids = listIds(first.text);
+  expect(first.text).not.toContain("[DONE]");
+
+  const second = await readChat(1, {
+    headers: { "last-event-id": ids.at(-1)! },
+  });
+  expect(second.requestId).toBe(first.requestId);
+  expect(second.text).toContain("[DONE]");
+  const joined = first.text + second.text;
+  expect(readTokens(joined)).toEqual(answer.describeAnswer(body));
+
+  // The agent still holds the generation: every byte after the first event
+  // is the same when one entry delivers it in one piece.
+  const again = await readChat(2, { headers: { "last-event-id": ids[0]! } });
+  const firstEvent = first.text.slice(0, first.text.indexOf("\n\n") + 2);
+  expect(firstEvent + again.text).toBe(joined);
+
+  const foreign = await readChat(2, {
+    headers: {
+      "last-event-id": ids[0]!,
+      "x-workspace": "drafting/padua",
+    },
+  });
+  expect(foreign.text).not.toContain("[DONE]");
+  expect(readTokens(foreign.text)).toEqual([]);
+});
--- a/packages/anvilhinge/src/entry/session.ts
+++ b/packages/anvilhinge/src/entry/session.ts
@@ -458,11 +458,14 @@
     if (!request.isRepeatable) return [];
     isDone = true;
     current = undefined;
+    const observed = observe(state, "completed");
+    // A caller that has events may come back for the rest at another entry;
+    // the agent ends what nobody follows for a while.
+    if (request.delivery === "streamed" && buffer.hasDelivered()) {
+      return observed;
+    }
     const { upstream, attemptId } = state;
-    return [
-      ...observe(state, "completed"),
-      { kind: "cancel", upstream, attemptId },
-    ];
+    return [...observed, { kind: "cancel", upstream, attemptId }];
   }
 
   function isCurrent(attemptId: string, phase: attemptState.Phase): boolean {
--- /dev/null
+++ b/packages/anvilhinge/src/entry/session_property_test.ts
@@ -0,0 +1,153 @@
+import fc from "fast-check";
+import type * as frames from "../ports/frames.ts";
+import * as sessionDriver from "../testing/session_driver.ts";
+import type * as session from "./session.ts";
+
+const chunkCount = 4;
+const attemptCount = 4;
+const seed = 20_261_203;
+
+/** One step of the world around a session. */
+type Step =
+  /** The next frame of an attempt in order. */
+  | { readonly kind: "next"; readonly attempt: number }
+  /** Any frame of an attempt: late, doubled, out of order or foreign. */
+  | {
+    readonly kind: "any";
+    readonly attempt: number;
+    readonly sequence: number;
+    readonly isForeign: boolean;
+    readonly claimedSequence: number;
+  }
+  | { readonly kind: "lost"; readonly attempt: number }
+  | { readonly kind: "stall" }
+  | {
+    readonly kind: "sealed";
+    readonly attempt: number;
+    readonly outcome: frames.SealOutcome;
+  };
+
+/** Frames of one generation: each differs from those of every other. */
+function buildGeneration(attempt: number): readonly frames.FrameBody[] {
+  const chunks = Array.from(
+    { length: chunkCount },
+    (_, index) => sessionDriver.createChunk(formatPiece(attempt, index)),
+  );
+  const end = sessionDriver.createEnd(chunkCount + 2);
+  return [sessionDriver.accepted, ...chunks, end];
+}
+
+function formatPiece(attempt: number, index: number): string {
+  return `<${attempt}.${index}>`;
+}
+
+const attempt = fc.integer({ min: 1, max: attemptCount });
+const sequence = fc.integer({ min: 0, max: chunkCount + 1 });
+const step: fc.Arbitrary<Step> = fc.oneof(
+  { weight: 20, arbitrary: fc.record({ kind: fc.constant("next"), attempt }) },
+  {
+    weight: 6,
+    arbitrary: fc.record({
+      kind: fc.constant("any"),
+      attempt,
+      sequence,
+      isForeign: fc.boolean(),
+      claimedSequence: sequence,
+    }),
+  },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant("lost"), attempt }) },
+  { weight: 1, arbitrary: fc.constant({ kind: "stall" }) },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      kind: fc.constant("sealed"),
+      attempt,
+      outcome: fc.constantFrom("sealed", "running", "finished", "unknown"),
+    }),
+  },
+) as fc.Arbitrary<Step>;
+
+function runSteps(
+  steps: readonly Step[],
+  request: Partial<session.Request>,
+): sessionDriver.Driver {
+  const driver = sessionDriver.createDriver({ request });
+  const nextOf = new Map<number, number>();
+  for (const one of steps) {
+    switch (one.kind) {
+      case "next": {
+        const at = nextOf.get(one.attempt) ?? 0;
+        const body = buildGeneration(one.attempt)[at];
+        nextOf.set(one.attempt, at + 1);
+        if (body !== undefined) driver.feedFrame(one.attempt, at, { body });
+        break;
+      }
+      case "any": {
+        // A foreign frame may carry any content under any number.
+        const at = one.isForeign ? one.claimedSequence : one.sequence;
+        const body = buildGeneration(one.attempt)[one.sequence]!;
+        const requestId = one.isForeign ? "r2" : "r1";
+        driver.feedFrame(one.attempt, at, { body, requestId });
+        break;
+      }
+      case "lost": {
+        const attemptId = `a${one.attempt}`;
+        const message = "broken";
+        driver.feed({ kind: "lost", attemptId, sent: true, message });
+        break;
+      }
+      case "stall":
+        driver.feed({ kind: "timer", name: "stall" });
+        break;
+      case "sealed": {
+        const attemptId = `a${one.attempt}`;
+        const { outcome } = one;
+        driver.feed({ kind: "seal_answered", attemptId, outcome });
+        break;
+      }
+    }
+  }
+  return driver;
+}
+
+describe.each(
+  [
+    { isRepeatable: true, delivery: "streamed" },
+    { isRepeatable: true, delivery: "whole" },
+    { isRepeatable: false, delivery: "whole" },
+  ] as const,
+)("an answer under any interleaving: %j", (request) => {
+  test("is a prefix of one generation, whole only with its end frame", () => {
+    let completed = 0;
+    fc.assert(
+      fc.property(
+        fc.array(step, { minLength: 10, maxLength: 60, size: "max" }),
+        (steps) => {
+          const driver = runSteps(steps, request);
+          const text = driver.readText();
+          const generations = Array.from(
+            { length: attemptCount },
+            (_, index) =>
+              Array.from(
+                { length: chunkCount },
+                (_, piece) => formatPiece(index + 1, piece),
+              ).join(""),
+          );
+          expect(generations.some((whole) => whole.startsWith(text))).toBe(
+            true,
+          );
+          const lastWords = [...driver.list("end"), ...driver.list("answer")];
+          expect(lastWords.length).toBeLessThanOrEqual(1);
+          if (driver.list("end").length === 1) {
+            completed += 1;
+            expect(generations).toContain(text);
+          } else if (request.delivery === "whole") {
+            expect(text).toBe("");
+          }
+        },
+      ),
+      { seed, numRuns: 1_500 },
+    );
+    expect(completed).toBeGreaterThan(100);
+  });
+});
--- /dev/null
+++ b/packages/anvilhinge/src/entry/session_test.ts
@@ -0,0 +1,267 @@
+import type * as claims from "@anvilhinge/coordination/claims";
+import * as sessionDriver from "../testing/session_driver.ts";
+import * as session from "./session.ts";
+
+const { accepted, createChunk, createEnd, createRefusal } = sessionDriver;
+const filing = { request: { isRepeatable: false, delivery: "whole" } } as const;
+const lost: session.SessionEvent = {
+  kind: "lost",
+  attemptId: "a1",
+  sent: true,
+  message: "broken",
+};
+const stall: session.SessionEvent = { kind: "timer", name: "stall" };
+const failed = {
+  kind: "failed",
+  message: "out of memory",
+  load: sessionDriver.noLoad,
+} as const;
+
+function readFinal(driver: sessionDriver.Driver) {
+  return driver.list("answer").at(-1)?.answer;
+}
+
+test("not run is not said when an earlier attempt may have run", () => {
+  const driver = sessionDriver.createDriver({ options: { maxAttempts: 2 } });
+  driver.feed(lost);
+  driver.feedFrame(2, 0, { body: createRefusal("overloaded") });
+  expect(readFinal(driver)).toMatchObject({ kind: "failed", ran: "unknown" });
+});
+
+test("not run is said when every attempt was refused", () => {
+  const driver = sessionDriver.createDriver({ options: { maxAttempts: 2 } });
+  driver.feedFrame(1, 0, { body: createRefusal("leaving") });
+  driver.feedFrame(2, 0, { body: createRefusal("overloaded") });
+  expect(readFinal(driver)).toMatchObject({ kind: "not_run" });
+});
+
+test("a resume that was not sent does not mean that nothing ran", () => {
+  const driver = sessionDriver.createDriver({
+    options: {
+      resumePoint: {
+        upstream: sessionDriver.createUpstream(0),
+        attemptId: "a9",
+        fromSequence: 3,
+      },
+    },
+  });
+  for (let count = 0; count < 4; count += 1) {
+    driver.feed({ ...lost, attemptId: "a9", sent: false } as typeof lost);
+  }
+  expect(driver.list("resume")).toHaveLength(4);
+  expect(readFinal(driver)).toMatchObject({ kind: "failed", ran: "yes" });
+});
+
+test("failed work that must not run twice has an unknown outcome", () => {
+  const driver = sessionDriver.createDriver(filing);
+  driver.feedFrame(1, 0, { body: accepted });
+  driver.feedFrame(1, 1, { body: failed });
+  expect(driver.list("dispatch")).toHaveLength(1);
+  expect(readFinal(driver)).toMatchObject({ kind: "unknown" });
+});
+
+test("a lost filing is sealed before another attempt starts", () => {
+  const driver = sessionDriver.createDriver(filing);
+  driver.feed(lost);
+  expect(driver.list("dispatch")).toHaveLength(1);
+  expect(driver.list("seal")[0]?.seal).toMatchObject({
+    attemptId: "a1",
+    incarnation: "i",
+  });
+  const attemptId = "a1";
+  driver.feed({ kind: "seal_answered", attemptId, outcome: "sealed" });
+  expect(driver.list("claim").at(-1)).toMatchObject({ replaces: "a1" });
+  expect(driver.list("dispatch")).toHaveLength(2);
+});
+
+test.each(["unknown", "unreachable"] as const)(
+  "a seal that is %s leaves the outcome unknown",
+  (outcome) => {
+    const driver = sessionDriver.createDriver(filing);
+    driver.feed(lost);
+    driver.feed({ kind: "seal_answered", attemptId: "a1", outcome });
+    expect(driver.list("dispatch")).toHaveLength(1);
+    expect(readFinal(driver)).toMatchObject({ kind: "unknown" });
+  },
+);
+
+test("a refusal by another incarnation proves nothing about the one named", () => {
+  const driver = sessionDriver.createDriver(filing);
+  driver.feedFrame(1, 0, { body: createRefusal("wrong_incarnation") });
+  expect(readFinal(driver)).toMatchObject({ kind: "unknown" });
+});
+
+test("a filing outlives its caller and its outcome is recorded", () => {
+  const driver = sessionDriver.createDriver(filing);
+  driver.feed({ kind: "caller_gone" });
+  expect(driver.session.isDone()).toBe(false);
+  driver.feedFrame(1, 0, { body: accepted });
+  driver.feedFrame(1, 1, { body: createChunk("filed") });
+  driver.feedFrame(1, 2, { body: createEnd(3) });
+  expect(driver.session.isDone()).toBe(true);
+  expect(driver.list("cancel")).toHaveLength(0);
+  expect(driver.list("settle")).toMatchObject([{
+    attemptId: "a1",
+    state: {
+      kind: "finished",
+      answer: { status: 200, body: Buffer.from("filed").toString("base64") },
+    },
+  }]);
+});
+
+test("slow work that must not run twice goes on while its agent says so", () => {
+  const driver = sessionDriver.createDriver(filing);
+  for (let count = 0; count < 10; count += 1) {
+    driver.feed(stall);
+    const attemptId = "a1";
+    driver.feed({ kind: "seal_answered", attemptId, outcome: "running" });
+  }
+  expect(driver.session.isDone()).toBe(false);
+});
+
+describe("while the claim is on its way", () => {
+  const outcome = { kind: "described", incarnation: "i", nowMs: 0 } as const;
+
+  function createClaiming(createAttemptId = () => "a1"): session.Session {
+    const machine = session.createSession({
+      requestId: "r1",
+      workspace: "w",
+      work: { kind: "model", model: "m", body: new Uint8Array() },
+      digest: "d",
+      priority: 1,
+      deadlineAtMs: 30_000,
+      ...filing.request,
+    }, {
+      clock: { now: () => 10_000 },
+      readWallMs: () => 10_000,
+      createAttemptId,
+      chooseUpstream: () => ({
+        kind: "chosen",
+        upstream: sessionDriver.createUpstream(0),
+      }),
+      takeRetry: () => true,
+    });
+    machine.handle({ kind: "arrived" });
+    machine.handle({ kind: "prepared", attemptId: "a1", outcome });
+    return machine;
+  }
+
+  const earlier: claims.Claim = {
+    workspace: "w",
+    requestId: "r1",
+    attemptId: "a0",
+    upstream: sessionDriver.createUpstream(5),
+    incarnation: "i5",
+    startByMs: 1,
+    digest: "d",
+    changedAtMs: 0,
+    state: { kind: "claimed" },
+  };
+
+  function feedClaimAnswer(
+    machine: session.Session,
+    result: claims.ClaimResult,
+  ) {
+    return machine.handle({ kind: "claim_answered", attemptId: "a1", result });
+  }
+
+  test("an outage of the store is answered with not run at once", () => {
+    const effects = feedClaimAnswer(createClaiming(), {
+      kind: "unavailable",
+      message: "down",
+    });
+    expect(effects).toMatchObject([
+      { kind: "observe" },
+      { kind: "settle", claim: { attemptId: "a1" } },
+      { kind: "answer", answer: { kind: "not_run", retryAfterMs: 1_000 } },
+    ]);
+  });
+
+  test("the deadline ends it with not run, and a late claim is not used", () => {
+    const machine = createClaiming();
+    const effects = machine.handle({ kind: "timer", name: "deadline" });
+    expect(effects.at(-1)).toMatchObject({ answer: { kind: "not_run" } });
+    expect(feedClaimAnswer(machine, { kind: "claimed" })).toEqual([]);
+  });
+
+  test("another body under the same name is refused", () => {
+    const effects = feedClaimAnswer(createClaiming(), { kind: "other_body" });
+    expect(effects.at(-1)).toMatchObject({ answer: { kind: "other_body" } });
+  });
+
+  test("a recorded answer is given again", () => {
+    const body = Buffer.from("filed").toString("base64");
+    const answer = { status: 201, headers: [], body };
+    const effects = feedClaimAnswer(createClaiming(), {
+      kind: "exists",
+      claim: { ...earlier, state: { kind: "finished", answer } },
+    });
+    expect(effects).toMatchObject([
+      { kind: "observe" },
+      { kind: "head", head: { status: 201 } },
+      { kind: "data", data: Buffer.from("filed") },
+      { kind: "end" },
+    ]);
+  });
+
+  test("a claim that another entry is at work on is left alone", () => {
+    const claim = { ...earlier, changedAtMs: 9_000 };
+    const effects = feedClaimAnswer(createClaiming(), {
+      kind: "exists",
+      claim,
+    });
+    expect(effects.at(-1)).toMatchObject({
+      answer: { kind: "unknown", retryAfterMs: 1_000 },
+    });
+  });
+
+  test("an old claim is sealed before a new attempt replaces it", () => {
+    const machine = createClaiming();
+    const effects = feedClaimAnswer(machine, {
+      kind: "exists",
+      claim: earlier,
+    });
+    expect(effects.at(-1)).toMatchObject({
+      kind: "seal",
+      upstream: { id: "g/5" },
+      seal: { attemptId: "a0", incarnation: "i5" },
+    });
+    const attemptId = "a0";
+    machine.handle({ kind: "seal_answered", attemptId, outcome: "sealed" });
+    const prepared = machine.handle({
+      kind: "prepared",
+      attemptId: "a1",
+      outcome,
+    });
+    expect(prepared).toMatchObject([{ kind: "claim", replaces: "a0" }]);
+  });
+});
+
+test.each([filing, {}])("each attempt is observed once", (options) => {
+  for (const last of ["deadline", "caller_gone"] as const) {
+    const driver = sessionDriver.createDriver(options);
+    driver.feed(lost);
+    driver.feed({ kind: "seal_answered", attemptId: "a1", outcome: "running" });
+    driver.feed({ kind: "caller_gone" });
+    if (last === "deadline") driver.feed({ kind: "timer", name: "deadline" });
+    else driver.feedFrame(1, 0, { body: accepted });
+    driver.feedFrame(1, 1, { body: createEnd(2) });
+    expect(driver.list("observe")).toHaveLength(driver.list("prepare").length);
+  }
+});
+
+test("a stream that its caller may resume is not cancelled", () => {
+  const driver = sessionDriver.createDriver();
+  driver.feedFrame(1, 0, { body: accepted });
+  driver.feedFrame(1, 1, { body: createChunk("first") });
+  driver.feed({ kind: "caller_gone" });
+  expect(driver.session.isDone()).toBe(true);
+  expect(driver.list("cancel")).toHaveLength(0);
+});
+
+test("work of which the caller has seen nothing is cancelled with it", () => {
+  const driver = sessionDriver.createDriver();
+  driver.feedFrame(1, 0, { body: accepted });
+  driver.feed({ kind: "caller_gone" });
+  expect(driver.list("cancel")).toMatchObject([{ attemptId: "a1" }]);
+});
