--- a/packages/anvilhinge/src/agent/mod.ts
+++ b/packages/anvilhinge/src/agent/mod.ts
@@ -6,6 +6,7 @@
 import * as engineHttp from "../adapters/engine_http.ts";
 import * as systemScheduler from "../adapters/system_scheduler.ts";
 import type * as engine from "../ports/engine.ts";
+import type * as shutdown from "../ports/shutdown.ts";
 import type * as scheduler from "../ports/scheduler.ts";
 import type * as process from "../settings/process.ts";
 import * as logger from "../telemetry/logger.ts";
@@ -28,6 +29,8 @@
   stop(): Promise<void>;
   /** Closes at once. */
   kill(): void;
+  /** Attempts that run, and finished ones that no entry has taken. */
+  countOpen(): number;
 }
 
 interface Parts {
@@ -46,6 +49,8 @@
 const loadIntervalMs = 100;
 const expireIntervalMs = 1_000;
 const drainPollMs = 50;
+/** Longest wait at a stop for answers to be taken. */
+const takeWaitMs = 10_000;
 
 /** Registers the parts of an agent. */
 function composeParts(
@@ -153,26 +158,37 @@
     return new Promise((resolve) => scheduler.schedule(resolve, { delayMs }));
   }
 
+  /** Whether an entry still reads an answer, or has yet to come for one. */
+  function hasReaders(): boolean {
+    return parts.service.countStreams() > 0 || attempts.countUntaken() > 0;
+  }
+
   return {
     address,
     async stop() {
       attempts.stop();
       logger.info(`Finishes ${attempts.countRunning()} attempts`);
       while (attempts.countRunning() > 0) await wait(drainPollMs);
+      const takeByMs = scheduler.now() + takeWaitMs;
+      while (hasReaders() && scheduler.now() < takeByMs) {
+        await wait(drainPollMs);
+      }
       await parts.tracing.stop();
       abort.abort();
       logger.info("Stopped");
     },
     kill: () => abort.abort(),
+    countOpen: () => attempts.countRunning() + attempts.countUntaken(),
   };
 }
 
 /** Runs an agent until the signal aborts, then stops it gracefully. */
 export async function runAgent(
   settings: process.AgentSettings,
-  options: { readonly signal: AbortSignal },
+  options: shutdown.RunRoleOptions,
 ): Promise<void> {
   const agent = await startAgent(settings);
+  options.onWork?.(() => `${agent.countOpen()} attempts`);
   if (!options.signal.aborted) {
     await new Promise((resolve) =>
       options.signal.addEventListener("abort", resolve, { once: true })
--- a/packages/anvilhinge/src/entry/caller_error.ts
+++ b/packages/anvilhinge/src/entry/caller_error.ts
@@ -17,6 +17,7 @@
   | "deadline_exceeded"
   | "other_body"
   | "already_run"
+  | "record_unavailable"
   | "not_ready"
   | "internal";
 
@@ -99,6 +100,7 @@
     case "already_run":
       return "yes";
     case "outcome_unknown":
+    case "record_unavailable":
     case "failed":
     case "deadline_exceeded":
     case "internal":
--- a/packages/anvilhinge/src/entry/callers_http.ts
+++ b/packages/anvilhinge/src/entry/callers_http.ts
@@ -6,6 +6,8 @@
 import * as answerWriter from "./answer_writer.ts";
 import * as callIdentity from "./call_identity.ts";
 import type * as context from "./context.ts";
+import * as inquiry from "./inquiry.ts";
+import * as outcomeAnswer from "./outcome_answer.ts";
 import * as requestChecks from "./request_checks.ts";
 import * as requestRunner from "./request_runner.ts";
 
@@ -23,6 +25,7 @@
     help: "Answers to callers by status code",
     labelNames: ["status"],
   });
+  const askOutcome = inquiry.createInquiry(entry);
   const runRequest = requestRunner.createRequestRunner(entry);
 
   async function handleChat(koa: Koa.Context): Promise<Handled> {
@@ -54,6 +57,7 @@
       workspace: workspace.value.id,
       work: { kind: "model", model, body: body.value },
       isRepeatable: true,
+      isNamed: false,
       digest: "",
       priority: workspace.value.settings.priority,
       deadlineAtMs: entry.scheduler.now() + deadline.value,
@@ -102,6 +106,8 @@
         body: body.value,
       },
       isRepeatable: repeatable,
+      isNamed: key.value !== "" ||
+        koa.get(requestChecks.requestIdHeader) !== "",
       digest: repeatable ? "" : callIdentity.computeDigest({
         ...call,
         service: name,
@@ -126,6 +132,18 @@
     return { kind: "ok" };
   }
 
+  async function handleOutcome(koa: Koa.Context): Promise<Handled> {
+    const workspace = requestChecks.checkWorkspace(entry, koa);
+    if (workspace.kind === "error") return workspace;
+    const requestId = String(koa.params.requestId);
+    setRequestId(koa, requestId);
+    const answer = await askOutcome({
+      workspace: workspace.value.id,
+      requestId,
+    });
+    return outcomeAnswer.writeOutcome(koa, answer);
+  }
+
   function handleAddresses(koa: Koa.Context): Handled {
     const workspace = requestChecks.checkWorkspace(entry, koa);
     if (workspace.kind === "error") return workspace;
@@ -175,6 +193,7 @@
   }
 
   router.post("/v1/chat/completions", takeWork(handleChat));
+  router.get("/v1/requests/:requestId", handle(handleOutcome));
   router.get("/v1/models", handle(handleModels));
   router.get("/v1/addresses", handle(handleAddresses));
   router.all("/services/:service{/*path}", takeWork(handleService));
--- /dev/null
+++ b/packages/anvilhinge/src/entry/claim_store_test.ts
@@ -0,0 +1,175 @@
+import * as claims from "@anvilhinge/coordination/claims";
+import * as random from "@anvilhinge/coordination/random";
+import * as faults from "../stand_ins/faults.ts";
+import * as localObjectStore from "../stand_ins/local_object_store.ts";
+import * as objectApi from "../stand_ins/object_api.ts";
+import * as manualScheduler from "../testing/manual_scheduler.ts";
+import * as claimStore from "./claim_store.ts";
+
+const half = "association";
+
+function createWorld() {
+  const scheduler = manualScheduler.createManualScheduler();
+  const api = objectApi.createObjectApi();
+  const storeFaults = faults.createFaultSwitch();
+  const store = localObjectStore.createLocalObjectStore(api, {
+    faults: storeFaults,
+    scheduler,
+  });
+  const createEntry = () =>
+    claimStore.createClaimStore({
+      store,
+      scheduler,
+      random: random.createRandomSource(1),
+      readWallMs: scheduler.now,
+      half,
+      shardCount: 1,
+    });
+  return { scheduler, api, storeFaults, createEntry };
+}
+
+function createClaim(attemptId: string, requestId = "r1"): claims.NewClaim {
+  return {
+    workspace: "w",
+    requestId,
+    attemptId,
+    upstream: {
+      id: "g/0",
+      group: "g",
+      rank: 0,
+      address: "10.0.0.1:1",
+      half,
+      epoch: 1,
+    },
+    incarnation: "i1",
+    startByMs: 5_000,
+    digest: "d1",
+  };
+}
+
+function submitClaim(
+  store: claimStore.ClaimStore,
+  attemptId: string,
+  requestId?: string,
+): Promise<claims.ClaimResult> {
+  const claim = createClaim(attemptId, requestId);
+  return store.submit({ kind: "claim", claim });
+}
+
+test("of two entries that claim one key at once, one wins", async () => {
+  const { scheduler, createEntry } = createWorld();
+  const outcome = Promise.all([
+    submitClaim(createEntry(), "a1"),
+    submitClaim(createEntry(), "a2"),
+  ]);
+  await scheduler.advanceAsync(1_000);
+  expect((await outcome).map((result) => result.kind).sort()).toEqual([
+    "claimed",
+    "exists",
+  ]);
+});
+
+test("claims that arrive together share a write", async () => {
+  const { scheduler, api, createEntry } = createWorld();
+  const store = createEntry();
+  const outcome = Promise.all(
+    Array.from(
+      { length: 100 },
+      (_, index) => submitClaim(store, `a${index}`, `r${index}`),
+    ),
+  );
+  await scheduler.advanceAsync(1_000);
+  expect(new Set((await outcome).map((result) => result.kind))).toEqual(
+    new Set(["claimed"]),
+  );
+  expect(api.getCallCounts().write).toBeLessThanOrEqual(2);
+});
+
+test("an outage is answered at once and nothing is claimed", async () => {
+  const { scheduler, storeFaults, createEntry } = createWorld();
+  const store = createEntry();
+  storeFaults.set({ kind: "down" });
+  const result = submitClaim(store, "a1");
+  await scheduler.advanceAsync(0);
+  expect(await result).toMatchObject({ kind: "unavailable" });
+  storeFaults.set({ kind: "none" });
+  const name = { workspace: "w", requestId: "r1" };
+  const found = store.submit({ kind: "find", name });
+  await scheduler.advanceAsync(2_000);
+  expect(await found).toEqual({ kind: "missing" });
+});
+
+test("a write whose answer was lost is settled by reading back", async () => {
+  const { scheduler, storeFaults, api, createEntry } = createWorld();
+  const store = createEntry();
+  await Promise.all([submitClaim(store, "a0", "r0")]);
+  await scheduler.advanceAsync(1_000);
+  storeFaults.set({ kind: "answer_lost" }, { callCount: 1 });
+  const result = submitClaim(store, "a1");
+  await scheduler.advanceAsync(1_000);
+  expect(await result).toEqual({ kind: "claimed" });
+  expect(api.getCallCounts().write).toBe(2);
+});
+
+test("a write that lands late cannot bring back what was given up", async () => {
+  const { scheduler, storeFaults, createEntry } = createWorld();
+  const store = createEntry();
+  await submitClaim(store, "a0", "r0");
+  await scheduler.advanceAsync(1_000);
+  // The write is given up, and the store is away when it is read back.
+  storeFaults.set({ kind: "late", delayMs: 60_000 }, { callCount: 1 });
+  storeFaults.subscribe((fault) => {
+    if (fault.kind === "none") storeFaults.set({ kind: "down" });
+  });
+  const given = submitClaim(store, "a1");
+  await scheduler.advanceAsync(100);
+  expect(await given).toMatchObject({ kind: "unavailable" });
+  const settled = store.submit({
+    kind: "settle",
+    name: { workspace: "w", requestId: "r1" },
+    attemptId: "a1",
+    state: { kind: "not_run" },
+    claim: createClaim("a1"),
+  });
+  await scheduler.advanceAsync(5_000);
+  storeFaults.set({ kind: "slow", delayMs: 1 });
+  await scheduler.advanceAsync(5_000);
+  expect(await settled).toEqual({ kind: "settled" });
+  await scheduler.advanceAsync(60_000);
+  const name = { workspace: "w", requestId: "r1" };
+  const found = findClaim(createEntry(), name);
+  await scheduler.advanceAsync(1_000);
+  expect(await found).toMatchObject({
+    claim: { attemptId: "a1", state: { kind: "not_run" } },
+  });
+});
+
+function findClaim(
+  store: claimStore.ClaimStore,
+  name: claims.ClaimName,
+): Promise<claims.ClaimResult> {
+  return store.submit({ kind: "find", name });
+}
+
+test("outcomes wait for the end of an outage", async () => {
+  const { scheduler, storeFaults, createEntry } = createWorld();
+  const store = createEntry();
+  await submitClaim(store, "a1");
+  storeFaults.set({ kind: "down" });
+  const name = { workspace: "w", requestId: "r1" };
+  const answer = { status: 201, headers: [] };
+  const settled = store.submit({
+    kind: "settle",
+    name,
+    attemptId: "a1",
+    state: { kind: "finished", answer },
+  });
+  await scheduler.advanceAsync(30_000);
+  expect(store.countWaiting()).toBe(1);
+  storeFaults.set({ kind: "none" });
+  await scheduler.advanceAsync(3_000);
+  await settled;
+  const found = createEntry().submit({ kind: "find", name });
+  await scheduler.advanceAsync(1_000);
+  expect(await found).toMatchObject({ claim: { state: { answer } } });
+});
--- a/packages/anvilhinge/src/entry/mod.ts
+++ b/packages/anvilhinge/src/entry/mod.ts
@@ -15,6 +15,7 @@
 import * as logger from "../telemetry/logger.ts";
 import * as metrics from "../telemetry/metrics.ts";
 import * as tracing from "../telemetry/tracing.ts";
+import type * as shutdown from "../ports/shutdown.ts";
 import * as addresses from "./addresses.ts";
 import * as agentClient from "./agent_client.ts";
 import * as agentClocks from "./agent_clocks.ts";
@@ -43,6 +44,8 @@
   stop(): Promise<void>;
   /** Closes at once. */
   kill(): void;
+  /** Requests in progress. */
+  countOpen(): number;
 }
 
 interface Parts extends context.EntryContext {
@@ -53,6 +56,8 @@
 
 const membersIntervalMs = 500;
 const drainPollMs = 50;
+/** Longest wait at a stop for outcomes to be recorded. */
+const recordWaitMs = 5_000;
 const platformTimeoutMs = 2_000;
 
 /** Registers the parts of an entry. */
@@ -246,20 +251,26 @@
       state.isClosed = true;
       logger.info(`Finishes ${state.openRequests} requests`);
       while (state.openRequests > 0) await wait(drainPollMs);
+      const recordByMs = scheduler.now() + recordWaitMs;
+      while (parts.claims.countWaiting() > 0 && scheduler.now() < recordByMs) {
+        await wait(drainPollMs);
+      }
       await parts.tracing.stop();
       abort.abort();
       logger.info("Stopped");
     },
     kill: () => abort.abort(),
+    countOpen: () => state.openRequests,
   };
 }
 
 /** Runs an entry until the signal aborts, then stops it gracefully. */
 export async function runEntry(
   settings: process.EntrySettings,
-  options: { readonly signal: AbortSignal },
+  options: shutdown.RunRoleOptions,
 ): Promise<void> {
   const entry = await startEntry(settings);
+  options.onWork?.(() => `${entry.countOpen()} requests`);
   if (!options.signal.aborted) {
     await new Promise((resolve) =>
       options.signal.addEventListener("abort", resolve, { once: true })
--- a/packages/anvilhinge/src/entry/runner.ts
+++ b/packages/anvilhinge/src/entry/runner.ts
@@ -146,6 +146,13 @@
       feed({ kind: "seal_answered", attemptId, outcome });
     }
 
+    async function find(): Promise<void> {
+      const { workspace, requestId } = request;
+      const name = { workspace, requestId };
+      const result = await claims.submit({ kind: "find", name });
+      feed({ kind: "found", result });
+    }
+
     function settle({ attemptId, state, claim }: Effect<"settle">): void {
       const { workspace, requestId } = request;
       const name = { workspace, requestId };
@@ -165,6 +172,8 @@
           return void prepare(effect);
         case "claim":
           return void claim(effect);
+        case "find":
+          return void find();
         case "settle":
           return settle(effect);
         case "dispatch":
--- a/packages/anvilhinge/src/entry/session.ts
+++ b/packages/anvilhinge/src/entry/session.ts
@@ -14,6 +14,10 @@
 export type * from "./session_types.ts";
 
 type Effects = types.SessionEffect[];
+type NotRun = Pick<
+  Extract<types.FinalAnswer, { readonly kind: "not_run" }>,
+  "reason" | "retryAfterMs"
+>;
 type Body<Kind extends frames.FrameBody["kind"]> = Extract<
   frames.FrameBody,
   { readonly kind: Kind }
@@ -46,6 +50,10 @@
   let current: attemptState.AttemptState | undefined;
   /** Claimed attempt of which a proof says that it never runs. */
   let unrunAttemptId: string | undefined;
+  /** True when no earlier sending of this request ran, or can run. */
+  let isNameClear = request.isRepeatable || !request.isNamed;
+  /** What is said when the claims know of no earlier sending. */
+  let pendingNotRun: NotRun | undefined;
   /** Whether any earlier attempt of this request ran. */
   let ran: types.Ran = "no";
   let isDone = false;
@@ -63,6 +71,11 @@
   /** Finishes a request of which the last attempt did not run. */
   function finishNotRun(reason: string, retryAfterMs: number): Effects {
     if (ran !== "no") return finish({ kind: "failed", message: reason, ran });
+    current = undefined;
+    if (!isNameClear) {
+      pendingNotRun = { reason, retryAfterMs };
+      return [{ kind: "find" }];
+    }
     const settled: Effects = unrunAttemptId === undefined ? [] : [{
       kind: "settle",
       attemptId: unrunAttemptId,
@@ -71,6 +84,20 @@
     return [...settled, ...finish({ kind: "not_run", reason, retryAfterMs })];
   }
 
+  /** Goes on once it is known whether the request was sent before. */
+  function handleFound(result: claims.ClaimResult): Effects {
+    const notRun = pendingNotRun;
+    if (notRun === undefined) return [];
+    pendingNotRun = undefined;
+    if (result.kind === "exists") return handleEarlier(result.claim);
+    if (result.kind !== "missing") {
+      const message = `${notRun.reason}; an earlier sending may have run`;
+      return finishUnknown(message, notRun.retryAfterMs);
+    }
+    isNameClear = true;
+    return finishNotRun(notRun.reason, notRun.retryAfterMs);
+  }
+
   function finishUnknown(message: string, retryAfterMs = 0): Effects {
     return finish({ kind: "unknown", message, retryAfterMs });
   }
@@ -156,7 +183,10 @@
     state: attemptState.AttemptState,
     result: claims.ClaimResult,
   ): Effects {
-    if (result.kind === "claimed") return dispatch(state);
+    if (result.kind === "claimed") {
+      isNameClear = true;
+      return dispatch(state);
+    }
     const unclaimed = observe(state, "completed");
     switch (result.kind) {
       case "exists":
@@ -164,6 +194,7 @@
       case "other_body":
         return [...unclaimed, ...finish({ kind: "other_body" })];
       case "full":
+        isNameClear = true;
         return [
           ...unclaimed,
           ...finishNotRun("Too many calls are on record", claimRetryMs),
@@ -180,11 +211,19 @@
             state: { kind: "not_run" },
             claim: attemptState.buildClaim(request, state),
           },
-          ...finishNotRun("The call could not be put on record", claimRetryMs),
+          ...failUnrecorded(),
         ];
     }
   }
 
+  function failUnrecorded(): Effects {
+    const reason = "The call could not be put on record";
+    return isNameClear ? finishNotRun(reason, claimRetryMs) : finishUnknown(
+      `${reason}; an earlier sending may have run`,
+      claimRetryMs,
+    );
+  }
+
   /** Goes on when another attempt of the same request is on record. */
   function handleEarlier(claim: claims.Claim): Effects {
     const { state } = claim;
@@ -192,6 +231,7 @@
       case "finished":
         return deliverRecorded(claim, state.answer);
       case "not_run":
+        isNameClear = true;
         return finishNotRun("Another entry settled this request", claimRetryMs);
       case "claimed": {
         const ageMs = options.readWallMs() - claim.changedAtMs;
@@ -401,6 +441,7 @@
     switch (outcome) {
       case "sealed":
         unrunAttemptId = attemptId;
+        isNameClear = true;
         return [
           ...observe(state, "lost"),
           ...retryNotRun(`Upstream ${upstream.id} did not start it`, 0),
@@ -425,7 +466,7 @@
   function handleDeadline(): Effects {
     const message = "The deadline passed before the answer was complete";
     const state = current;
-    if (state === undefined) return [];
+    if (state === undefined) return finishUnknown(message);
     if (state.phase === "preparing" || state.phase === "claiming") {
       return abortUnsent(state, message);
     }
@@ -445,15 +486,29 @@
     state: attemptState.AttemptState,
     message: string,
   ): Effects {
-    if (state.phase === "claiming") unrunAttemptId = state.attemptId;
-    return [...observe(state, "completed"), ...finishNotRun(message, 0)];
+    return [
+      ...observe(state, "completed"),
+      ...settleUnsent(state),
+      ...finishNotRun(message, 0),
+    ];
+  }
+
+  /** Records of a claim on its way that its attempt is not sent. */
+  function settleUnsent(
+    { phase, attemptId }: attemptState.AttemptState,
+  ): Effects {
+    return phase === "claiming"
+      ? [{ kind: "settle", attemptId, state: { kind: "not_run" } }]
+      : [];
   }
 
   function handleCallerGone(): Effects {
     const state = current;
     if (state === undefined) return [];
-    const isUnsent = state.phase === "preparing" || state.phase === "claiming";
-    if (isUnsent) return abortUnsent(state, "The caller has gone");
+    if (state.phase === "preparing" || state.phase === "claiming") {
+      isDone = true;
+      return [...observe(state, "completed"), ...settleUnsent(state)];
+    }
     // What must not run twice is followed to its end for the record.
     if (!request.isRepeatable) return [];
     isDone = true;
@@ -498,6 +553,8 @@
           return current !== undefined && isCurrent(event.attemptId, "claiming")
             ? handleClaimAnswer(current, event.result)
             : [];
+        case "found":
+          return handleFound(event.result);
         case "frame":
           return handleFrame(event.frame);
         case "lost":
--- a/packages/anvilhinge/src/entry/session_types.ts
+++ b/packages/anvilhinge/src/entry/session_types.ts
@@ -31,6 +31,8 @@
   readonly work: frames.Work;
   /** False when a second run would have a second effect. */
   readonly isRepeatable: boolean;
+  /** True when the caller named it, so that it may have been sent before. */
+  readonly isNamed: boolean;
   /** Digest of method, path and body; empty for repeatable work. */
   readonly digest: string;
   readonly priority: number;
@@ -105,6 +107,7 @@
     readonly attemptId: string;
     readonly result: claims.ClaimResult;
   }
+  | { readonly kind: "found"; readonly result: claims.ClaimResult }
   | { readonly kind: "frame"; readonly frame: frames.Frame }
   /** The call to the agent broke; `sent` is false when nothing left this node. */
   | {
@@ -169,6 +172,8 @@
     readonly claim: claims.NewClaim;
     readonly replaces?: string;
   }
+  /** Look the call up among the claims; answered by `found`. */
+  | { readonly kind: "find" }
   /** Record how a claimed attempt ended. */
   | {
     readonly kind: "settle";
--- /dev/null
+++ b/packages/anvilhinge/src/matrix/at_most_once_test.ts
@@ -0,0 +1,74 @@
+import type * as steps from "./steps.ts";
+import * as world from "./world.ts";
+
+function runFiling(
+  ...planned: readonly steps.PlannedFault[]
+): Promise<world.Record> {
+  return world.runWorld({ session: "filing", planned });
+}
+
+test("a paused entry that wakes after another took over starts nothing", async () => {
+  const record = await runFiling({
+    fault: "entry_pauses",
+    step: "store_write#1",
+  });
+  expect(record.effects).toHaveLength(1);
+  expect(record.sends.map((send) => send.entry.id)).toEqual(["A", "B"]);
+  expect(record.sends[1]).toMatchObject({ isComplete: true });
+});
+
+test("an agent that restarts before the call arrives runs nothing of it", async () => {
+  const record = await runFiling({
+    fault: "agent_dies",
+    step: "store_write#1",
+  });
+  expect(record.effects).toHaveLength(1);
+  expect(record.starts[0]?.upstreamId).toBe("g1/0");
+});
+
+test("an agent that restarts during the call leaves the outcome unknown", async () => {
+  const record = await runFiling({
+    fault: "agent_dies",
+    step: "frame_accepted#1",
+  });
+  expect(record.effects).toHaveLength(1);
+  expect(record.starts).toHaveLength(1);
+  expect(record.sends[0]?.final?.kind ?? "complete").not.toBe("not_run");
+});
+
+test("an answer that is lost after the effect is fetched again", async () => {
+  const record = await runFiling({
+    fault: "message_lost",
+    step: "frame_end#1",
+  });
+  expect(record.effects).toHaveLength(1);
+  expect(record.sends[0]).toMatchObject({ isComplete: true });
+  expect(record.inquiry).toMatchObject({
+    kind: "finished",
+    answer: { status: 201 },
+  });
+});
+
+test("a call sent after the instant by which it must start is refused", async () => {
+  const record = await runFiling({
+    fault: "message_very_late",
+    step: "run#1",
+  });
+  expect(record.effects).toHaveLength(1);
+  expect(record.starts.map((start) => start.upstreamId)).toEqual(["g1/0"]);
+});
+
+test("an outage of the store is answered at once, and nothing runs in it", async () => {
+  const record = await runFiling({ fault: "store_down", step: "store_read#1" });
+  const [first] = record.sends;
+  expect(first?.final).toMatchObject({ kind: "unknown", retryAfterMs: 1_000 });
+  expect(first?.finalAtMs).toBeLessThan(100);
+  expect(record.starts.filter(({ atMs }) => atMs < 5_000)).toEqual([]);
+  expect(record.effects.length).toBeLessThanOrEqual(1);
+});
+
+test("an entry that dies after the claim leaves a call that is settled", async () => {
+  const record = await runFiling({ fault: "entry_dies", step: "run#1" });
+  expect(record.effects).toHaveLength(1);
+  expect(record.sends.at(-1)).toMatchObject({ isComplete: true });
+});
--- /dev/null
+++ b/packages/anvilhinge/src/matrix/main.ts
@@ -0,0 +1,51 @@
+/** Prints the fault matrix: cells that hold of all cells, by fault. */
+import * as cells from "./cells.ts";
+import * as steps from "./steps.ts";
+import * as world from "./world.ts";
+
+const seed = 20_261_203;
+const pairCount = 300;
+
+function formatRow(
+  name: string,
+  columns: readonly (readonly cells.Cell[])[],
+): string {
+  const counts = columns.map((column) => {
+    const held = column.filter((cell) => cell.violations.length === 0).length;
+    return `${held}/${column.length}`.padStart(12);
+  });
+  return name.padEnd(20) + counts.join("");
+}
+
+async function printMatrix(): Promise<void> {
+  const bySession = [];
+  for (const session of world.allSessions) {
+    const singles = await cells.runSingles(session);
+    const pairs = await cells.runPairs(session, { seed, count: pairCount });
+    bySession.push({ singles, pairs });
+  }
+  for (const [index, session] of world.allSessions.entries()) {
+    console.log(`${index + 1}: ${session}`);
+  }
+  const numbers = world.allSessions.map((_, index) => `${index + 1}`);
+  console.log("".padEnd(20) + numbers.map((one) => one.padStart(12)).join(""));
+  for (const fault of steps.allFaults) {
+    const columns = bySession.map(({ singles }) =>
+      singles.filter(({ planned }) => planned[0]?.fault === fault)
+    );
+    console.log(formatRow(fault, columns));
+  }
+  console.log(
+    formatRow(`pairs, seed ${seed}`, bySession.map(({ pairs }) => pairs)),
+  );
+  const broken = bySession.flatMap(({ singles, pairs }) => [
+    ...singles,
+    ...pairs,
+  ]).filter((cell) => cell.violations.length > 0);
+  for (const cell of broken) {
+    console.log(`${cells.formatCell(cell)}: ${cell.violations.join("; ")}`);
+  }
+  process.exitCode = broken.length > 0 ? 1 : 0;
+}
+
+void printMatrix();
--- /dev/null
+++ b/packages/anvilhinge/src/matrix/network.ts
@@ -0,0 +1,40 @@
+/** Messages between the processes of the matrix, with planned faults. */
+import type * as scheduler from "../ports/scheduler.ts";
+import type * as steps from "./steps.ts";
+
+/** Sends one message; `name` names its step. */
+export type SendMessage = (name: string, deliver: () => void) => void;
+
+export interface NetworkOptions {
+  readonly scheduler: scheduler.Scheduler;
+  readonly plan: steps.Plan;
+  /** Called for faults that do not concern the message itself. */
+  readonly onFault: (fault: steps.Fault) => void;
+}
+
+/** One-way delay in milliseconds. */
+export const latencyMs = 1;
+const reorderedMs = 60;
+const doubledMs: readonly number[] = [latencyMs, 7, 6_500];
+const lateMs = 3_000;
+const veryLateMs = 8_000;
+
+/** Creates the function that sends messages. */
+export function createNetwork(options: NetworkOptions): SendMessage {
+  function listDelays(faults: readonly steps.Fault[]): readonly number[] {
+    if (faults.includes("message_lost")) return [];
+    if (faults.includes("message_very_late")) return [veryLateMs];
+    if (faults.includes("message_late")) return [lateMs];
+    if (faults.includes("message_reordered")) return [reorderedMs];
+    if (faults.includes("message_doubled")) return doubledMs;
+    return [latencyMs];
+  }
+
+  return (name, deliver) => {
+    const faults = options.plan.reach(name);
+    for (const fault of faults) options.onFault(fault);
+    for (const delayMs of listDelays(faults)) {
+      options.scheduler.schedule(deliver, { delayMs });
+    }
+  };
+}
--- /dev/null
+++ b/packages/anvilhinge/src/matrix/steps.ts
@@ -0,0 +1,70 @@
+/** The steps of a session and the faults that are planned for them. */
+
+/** What goes wrong at a step. */
+export type Fault =
+  | "message_lost"
+  | "message_late"
+  | "message_very_late"
+  | "message_doubled"
+  | "message_reordered"
+  | "agent_dies"
+  | "agent_gone"
+  | "entry_dies"
+  | "entry_pauses"
+  | "store_down"
+  | "store_slow"
+  | "store_answer_lost"
+  | "store_write_late"
+  | "rank_stalls"
+  | "list_stale";
+
+/** All faults in the order of the table. */
+export const allFaults: readonly Fault[] = [
+  "message_lost",
+  "message_late",
+  "message_very_late",
+  "message_doubled",
+  "message_reordered",
+  "agent_dies",
+  "agent_gone",
+  "entry_dies",
+  "entry_pauses",
+  "store_down",
+  "store_slow",
+  "store_answer_lost",
+  "store_write_late",
+  "rank_stalls",
+  "list_stale",
+];
+
+/** One fault at one step. */
+export interface PlannedFault {
+  readonly fault: Fault;
+  /** Name and number of the step, such as `run#1`. */
+  readonly step: string;
+}
+
+/** Counts steps and says what goes wrong at each. */
+export interface Plan {
+  /** Registers a step and returns the faults that are planned for it. */
+  reach(name: string): readonly Fault[];
+  /** Steps in the order in which they were reached. */
+  listSteps(): readonly string[];
+}
+
+/** Creates a plan; each fault occurs once. */
+export function createPlan(planned: readonly PlannedFault[]): Plan {
+  const counts = new Map<string, number>();
+  const steps: string[] = [];
+  return {
+    reach(name) {
+      const count = (counts.get(name) ?? 0) + 1;
+      counts.set(name, count);
+      const step = `${name}#${count}`;
+      steps.push(step);
+      return planned.filter((one) => one.step === step)
+        .map((one) => one.fault);
+    },
+    listSteps: () => steps,
+  };
+}
--- a/packages/anvilhinge/src/testing/session_driver.ts
+++ b/packages/anvilhinge/src/testing/session_driver.ts
@@ -54,6 +54,7 @@
     workspace: "w",
     work: { kind: "model", model: "m", body: new Uint8Array() },
     isRepeatable: true,
+    isNamed: false,
     digest: "d",
     priority: 1,
     deadlineAtMs: 30_000,
