--- a/packages/anvilhinge/src/entry/session_resume_test.ts
+++ b/packages/anvilhinge/src/entry/session_resume_test.ts
@@ -28,11 +28,14 @@
     workspace: "drafting/milan",
     work: { kind: "model", model: "drafting", body: new Uint8Array() },
     isRepeatable: true,
+    isNamed: false,
+    digest: "",
     priority: 4,
     deadlineAtMs: 60_000,
     delivery: "streamed",
   }, {
     clock: clock.createManualClock(),
+    readWallMs: () => 0,
     createAttemptId: () => `attempt-${attempts++}`,
     chooseUpstream: () => ({
       kind: "chosen",
@@ -41,6 +44,11 @@
     takeRetry: () => true,
   });
   machine.handle({ kind: "arrived" });
+  machine.handle({
+    kind: "prepared",
+    attemptId: "attempt-0",
+    outcome: { kind: "described", incarnation: "a", nowMs: 0 },
+  });
   machine.handle({
     kind: "frame",
     frame: createFrame("attempt-0", 0, {
