--- /dev/null
+++ b/packages/anvilhinge/src/entry/settings_change.ts
@@ -0,0 +1,264 @@
+/**
+ * Writes one change of a settings object: checks it against the present objects
+ * of its subtree, writes under the stated version, and settles a lost answer.
+ */
+import * as crypto from "node:crypto";
+import * as ambiguousWrite from "@anvilhinge/coordination/ambiguous_write";
+import type * as objectStore from "../ports/object_store.ts";
+import type * as document from "../settings/document.ts";
+import * as objectPath from "../settings/object_path.ts";
+import * as objects from "../settings/objects.ts";
+import * as record from "../settings/record.ts";
+import * as subtree from "../settings/subtree.ts";
+import type * as catalog from "./catalog.ts";
+import * as groupNames from "./group_names.ts";
+
+export interface SettingsChange {
+  readonly object: objects.SettingsObject;
+  readonly author: string;
+  readonly changeId: string;
+  /** Version that the object must have; 0 = it must not exist. */
+  readonly ifVersion: number;
+}
+
+export type ChangeOutcome =
+  | { readonly kind: "accepted"; readonly version: number }
+  /** Somebody else changed the object. */
+  | { readonly kind: "conflict"; readonly version: number }
+  /** The change did not take effect and can't any more. */
+  | { readonly kind: "not_accepted"; readonly version: number }
+  /** The change id belongs to another change. */
+  | { readonly kind: "repeated_id" }
+  | { readonly kind: "invalid"; readonly problems: readonly document.Problem[] }
+  /** The group's name belongs to another settings path. */
+  | { readonly kind: "name_taken"; readonly path: string }
+  | objectStore.Unavailable
+  | { readonly kind: "unknown"; readonly message: string };
+
+export interface ChangeOptions {
+  readonly store: objectStore.ObjectStore;
+  readonly catalog: Pick<catalog.Catalog, "listGroupPaths">;
+  readonly createId: () => string;
+  /** Returns the present time by the wall clock as ISO 8601. */
+  readonly formatNow: () => string;
+}
+
+/** A write whose answer was lost, as its asker knows it. */
+export interface LostChange {
+  readonly path: string;
+  readonly changeId: string;
+  /** Condition of the write; undefined = not known. */
+  readonly ifVersion?: number;
+}
+
+const digestLength = 16;
+const fenceAuthor = "anvilhinge";
+
+function computeDigest(text: string): string {
+  return crypto.createHash("sha256").update(text).digest("hex")
+    .slice(0, digestLength);
+}
+
+function convertPresent(
+  stored: objectStore.StoredObject | undefined,
+): ambiguousWrite.PresentObject {
+  if (stored === undefined) return { version: 0, changes: [] };
+  const changes = record.parseRecord(stored.value)?.changes ?? [];
+  return { version: stored.version, changes };
+}
+
+function parseStored(
+  stored: objectStore.StoredObject,
+): readonly objects.SettingsObject[] {
+  const path = record.parseKey(stored.key);
+  const present = record.findPresent(stored.value);
+  if (path === undefined || present === undefined) return [];
+  const checked = objects.checkObject(path, present.text);
+  return checked.kind === "valid" ? [checked.settings] : [];
+}
+
+/** Finds an earlier arrival of the same change. */
+function findRepeated(
+  change: SettingsChange,
+  stored: objectStore.StoredObject | undefined,
+): ChangeOutcome | undefined {
+  const present = convertPresent(stored);
+  const version = ambiguousWrite.findAcceptedVersion(present, change.changeId);
+  if (version === undefined) return undefined;
+  const changes = record.parseRecord(stored?.value)?.changes ?? [];
+  const known = changes.find(({ changeId }) => changeId === change.changeId);
+  const isSame = known?.author === change.author &&
+    known.textDigest === computeDigest(change.object.document.text);
+  return isSame ? { kind: "accepted", version } : { kind: "repeated_id" };
+}
+
+/** Returns the version that the key must have in the store. */
+function resolveCondition(
+  change: SettingsChange,
+  stored: objectStore.StoredObject | undefined,
+): number {
+  const isAbsent = record.parseRecord(stored?.value)?.isAbsent === true;
+  const { ifVersion } = change;
+  return ifVersion === 0 && isAbsent ? stored!.version : ifVersion;
+}
+
+async function checkGroupName(
+  change: SettingsChange,
+  options: ChangeOptions,
+): Promise<ChangeOutcome | undefined> {
+  const { path } = change.object;
+  if (path.kind !== "groups") return undefined;
+  const ownPath = objects.formatSettingsPath(path);
+  const [other] = options.catalog.listGroupPaths(path.name)
+    .filter((known) => known !== ownPath);
+  if (other !== undefined) return { kind: "name_taken", path: other };
+  const group = { name: path.name, path: ownPath };
+  const outcome = await groupNames.reserveGroupName(options.store, group);
+  if (outcome.kind === "reserved") return undefined;
+  if (outcome.kind === "unavailable") return outcome;
+  return { kind: "name_taken", path: outcome.path };
+}
+
+async function writeRecord(
+  change: SettingsChange,
+  options: ChangeOptions & {
+    readonly stored: objectStore.StoredObject | undefined;
+  },
+): Promise<ChangeOutcome> {
+  const { text } = change.object.document;
+  const path = objects.formatSettingsPath(change.object.path);
+  const ifVersion = resolveCondition(change, options.stored);
+  const next = record.buildRecord(record.parseRecord(options.stored?.value), {
+    text,
+    change: {
+      changeId: change.changeId,
+      author: change.author,
+      at: options.formatNow(),
+      previousVersion: ifVersion,
+      textDigest: computeDigest(text),
+    },
+  });
+  const key = record.formatKey(path);
+  const outcome = await options.store.write(key, next, { ifVersion });
+  switch (outcome.kind) {
+    case "accepted":
+    case "unavailable":
+      return outcome;
+    case "conflict":
+      return findRepeated(change, outcome.current) ??
+        { kind: "conflict", version: outcome.current?.version ?? 0 };
+    case "unknown": {
+      const { changeId } = change;
+      return await settleChange({ path, changeId, ifVersion }, options);
+    }
+  }
+}
+
+/** Applies the change; at most one arrival of it takes effect. */
+export async function applyChange(
+  change: SettingsChange,
+  options: ChangeOptions,
+): Promise<ChangeOutcome> {
+  const path = objects.formatSettingsPath(change.object.path);
+  const key = record.formatKey(path);
+  const prefix = record.formatKey(
+    `${objectPath.formatSubtree(change.object.path)}/`,
+  );
+  const listed = await options.store.list(prefix);
+  if (listed.kind === "unavailable") return listed;
+  const stored = listed.objects.find((object) => object.key === key);
+  const repeated = findRepeated(change, stored);
+  if (repeated !== undefined) return repeated;
+  const presentVersion = stored?.version ?? 0;
+  if (resolveCondition(change, stored) !== presentVersion) {
+    return { kind: "conflict", version: presentVersion };
+  }
+  const checked = subtree.checkAgainstSubtree(
+    change.object,
+    listed.objects.flatMap(parseStored),
+  );
+  if (checked.kind === "invalid") return checked;
+  const refused = await checkGroupName(change, options);
+  if (refused !== undefined) return refused;
+  return await writeRecord(change, { ...options, stored });
+}
+
+async function writeFence(
+  lost: LostChange,
+  options: ChangeOptions & {
+    readonly ifVersion: number;
+    readonly stored: objectStore.StoredObject | undefined;
+  },
+): Promise<ambiguousWrite.SettlementEvent> {
+  const { ifVersion, stored } = options;
+  const fence = record.buildFence(record.parseRecord(stored?.value), {
+    changeId: options.createId(),
+    author: fenceAuthor,
+    at: options.formatNow(),
+    previousVersion: ifVersion,
+    fences: lost.changeId,
+  });
+  const key = record.formatKey(lost.path);
+  const outcome = await options.store.write(key, fence, { ifVersion });
+  switch (outcome.kind) {
+    case "accepted":
+      return { kind: "fenced", version: outcome.version };
+    case "conflict":
+      return { kind: "fence_conflict" };
+    case "unknown":
+      return { kind: "fence_unknown" };
+    case "unavailable":
+      return outcome;
+  }
+}
+
+/** Finds out what became of a change, and rules it out if it must. */
+export async function settleChange(
+  lost: LostChange,
+  options: ChangeOptions,
+): Promise<ambiguousWrite.Settlement> {
+  const process = ambiguousWrite.createSettlement(lost);
+  const key = record.formatKey(lost.path);
+  let stored: objectStore.StoredObject | undefined;
+
+  async function execute(
+    effect: Exclude<
+      ambiguousWrite.SettlementEffect,
+      { readonly kind: "settled" }
+    >,
+  ): Promise<ambiguousWrite.SettlementEvent> {
+    if (effect.kind === "fence") {
+      const { ifVersion } = effect;
+      return await writeFence(lost, { ...options, ifVersion, stored });
+    }
+    const outcome = await options.store.read(key);
+    if (outcome.kind === "unavailable") return outcome;
+    stored = outcome.kind === "found" ? outcome.object : undefined;
+    return { kind: "read", present: convertPresent(stored) };
+  }
+
+  let effect: ambiguousWrite.SettlementEffect = { kind: "read" };
+  while (effect.kind !== "settled") {
+    effect = process.handle(await execute(effect));
+  }
+  return effect.settlement;
+}
+
+/** Looks a change up without ruling it out. */
+export async function findChange(
+  lost: LostChange,
+  store: objectStore.ObjectStore,
+): Promise<ambiguousWrite.Settlement> {
+  const outcome = await store.read(record.formatKey(lost.path));
+  if (outcome.kind === "unavailable") {
+    return { kind: "unknown", message: outcome.message };
+  }
+  const present = convertPresent(
+    outcome.kind === "found" ? outcome.object : undefined,
+  );
+  const version = ambiguousWrite.findAcceptedVersion(present, lost.changeId);
+  if (version !== undefined) return { kind: "accepted", version };
+  const message =
+    "The change was not found; only the subtree's operators can rule it out";
+  return { kind: "unknown", message };
+}
--- a/packages/anvilhinge/src/settings/record.ts
+++ b/packages/anvilhinge/src/settings/record.ts
@@ -15,11 +15,20 @@
   at: zod.string(),
   /** Version of the object before this change; 0 = it did not exist. */
   previousVersion: zod.int().min(0),
+  /** Digest of the text, which tells a repeated change from another one. */
+  textDigest: zod.string().optional(),
+  /** Lost change that this one rules out; the text is as before. */
+  fences: zod.string().optional(),
 }).readonly();
 
 const schema = zod.object({
   text: zod.string(),
   changes: zod.array(change).min(1).readonly(),
+  /**
+   * True when only a fence was written: the settings object does not exist, but
+   * its key must, because the lost write waits for a key that doesn't.
+   */
+  isAbsent: zod.boolean().optional(),
 }).readonly();
 
 /** One accepted change. */
@@ -43,6 +52,23 @@
   return { text: next.text, changes: changes.slice(0, historyLimit) };
 }
 
+/** Builds the record that rules out the lost change `next.fences`. */
+export function buildFence(
+  previous: SettingsRecord | undefined,
+  next: Change,
+): SettingsRecord {
+  const text = previous?.text ?? "";
+  const fenced = buildRecord(previous, { text, change: next });
+  const isAbsent = previous === undefined || previous.isAbsent === true;
+  return isAbsent ? { ...fenced, isAbsent } : fenced;
+}
+
+/** Returns the record unless it stands for an object that does not exist. */
+export function findPresent(value: unknown): SettingsRecord | undefined {
+  const parsed = parseRecord(value);
+  return parsed?.isAbsent ? undefined : parsed;
+}
+
 /** Returns the key in the object API of `/<half>/<team>/<kind>/<name>`. */
 export function formatKey(path: string): string {
   return `${settingsPrefix}${path}`;
--- a/packages/anvilhinge/src/settings/subtree.ts
+++ b/packages/anvilhinge/src/settings/subtree.ts
@@ -85,6 +85,37 @@
   });
 }
 
+function checkOwnAgents(
+  object: objects.SettingsObject,
+  others: readonly objects.SettingsObject[],
+): readonly document.Problem[] {
+  // The object goes last, so that the problems found in it are its own.
+  return checkAgents([...others, object]).filter(({ file }) =>
+    file === object.file
+  );
+}
+
+/**
+ * Checks one object against the present objects of its subtree: problems of the
+ * others don't count.
+ */
+export function checkAgainstSubtree(
+  object: objects.SettingsObject,
+  present: readonly objects.SettingsObject[],
+): SubtreeOutcome {
+  const path = objectPath.formatSettingsPath(object.path);
+  const others = present.filter((other) =>
+    objectPath.formatSettingsPath(other.path) !== path
+  );
+  const problems = [
+    ...checkReferences(object, [...others, object]),
+    ...checkOwnAgents(object, others),
+  ];
+  return problems.length > 0
+    ? { kind: "invalid", problems }
+    : { kind: "valid", settings: [object] };
+}
+
 function checkSameSubtree(
   all: readonly objects.SettingsObject[],
 ): readonly document.Problem[] {
--- a/packages/coordination/bench/fake_cluster.ts
+++ b/packages/coordination/bench/fake_cluster.ts
@@ -178,9 +178,10 @@
 
   function listStore(
     node: Node,
-    { failures, onListed }: {
+    options: {
       readonly failures: number;
-      readonly onListed: () => void;
+      readonly isOnlyConfirming?: boolean;
+      readonly onListed?: () => void;
     },
   ): void {
     countCall();
@@ -188,6 +189,8 @@
     runIn(node, delayMs, () => {
       if (isStoreAway) {
         deliver(node, { kind: "store_away" });
+        const { failures, isOnlyConfirming } = options;
+        if (isOnlyConfirming && node.member?.isReady()) return;
         const retryMs = backoff.computeRetryDelayMs({
           failures,
           baseMs: storeRetryMs,
@@ -196,13 +199,13 @@
         runIn(
           node,
           retryMs,
-          () => listStore(node, { failures: failures + 1, onListed }),
+          () => listStore(node, { ...options, failures: failures + 1 }),
         );
         return;
       }
       const list = { prefix, objects: [...stored.values()], version };
       deliver(node, { kind: "store_listed", list });
-      onListed();
+      options.onListed?.();
     });
   }
 
@@ -240,7 +243,10 @@
       case "ready":
         return options.onReady?.(node.peer.id);
       case "list_store":
-        return listStore(node, { failures: 0, onListed: () => {} });
+        return listStore(node, {
+          failures: 0,
+          isOnlyConfirming: effect.isOnlyConfirming,
+        });
       case "set_watching":
         return effect.isWatching ? startWatch(node) : stopWatch(node);
       case "members_changed":
--- a/packages/coordination/src/gossip.ts
+++ b/packages/coordination/src/gossip.ts
@@ -59,8 +59,8 @@
     readonly objects: readonly settingsReplica.ReplicatedObject[];
   }
   | { readonly kind: "ready" }
-  /** List all prefixes of the store once. */
-  | { readonly kind: "list_store" }
+  /** List all prefixes of the store once, and retry until then. */
+  | Extract<settingsSpread.SpreadEffect, { readonly kind: "list_store" }>
   /** Start or stop watching the store. */
   | { readonly kind: "set_watching"; readonly isWatching: boolean }
   /** These records of members are new here. */
@@ -219,7 +219,9 @@
     const effects = recordChanges(members.expire(nowMs));
     effects.push(...updateWatching());
     // Watching lists the store anyway.
-    if (tickCount === 1 && !isWatching) effects.push({ kind: "list_store" });
+    if (tickCount === 1 && !isWatching) {
+      effects.push({ kind: "list_store", isOnlyConfirming: true });
+    }
     const targets = [members.pickProbeTarget()];
     if (tickCount % removedProbeTicks === 0) {
       targets.push(members.pickRemovedTarget());
--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -3,6 +3,7 @@
  * deterministic state machines without sockets, clocks or random sources of
  * their own.
  */
+export * as ambiguousWrite from "./ambiguous_write.ts";
 export * as assignment from "./assignment.ts";
 export * as backoff from "./backoff.ts";
 export * as clock from "./clock.ts";
--- a/packages/coordination/src/settings_spread.ts
+++ b/packages/coordination/src/settings_spread.ts
@@ -39,8 +39,12 @@
   }
   /** The view is confirmed; emitted once. */
   | { readonly kind: "ready" }
-  /** Peers forgot removals that this node may have missed. */
-  | { readonly kind: "list_store" }
+  /** List all prefixes of the store once, and retry until then. */
+  | {
+    readonly kind: "list_store";
+    /** Retries may end when the view is confirmed otherwise. */
+    readonly isOnlyConfirming: boolean;
+  }
   /** Send these to the member that the event came from. */
   | {
     readonly kind: "exchange";
@@ -142,9 +146,12 @@
     return [...effects, ...checkReady()];
   }
 
+  /** Peers forgot removals that this node may have missed. */
   function checkFloor(floorVersion: number): SpreadEffect[] {
     const hasMissedRemovals = isReady && floorVersion > newestVersion;
-    return hasMissedRemovals ? [{ kind: "list_store" }] : [];
+    return hasMissedRemovals
+      ? [{ kind: "list_store", isOnlyConfirming: false }]
+      : [];
   }
 
   function handleReply(
