--- /dev/null
+++ b/packages/coordination/src/lease_record.ts
@@ -0,0 +1,37 @@
+/** The object that a lease is in the store. */
+
+/** Value of a lease object. */
+export interface LeaseRecord {
+  /** Id of the holder, new at each start of its process; "" = nobody yet. */
+  readonly holder: string;
+  /** Where the holder can be reached. */
+  readonly address: string;
+  /** Id of the write that made this value. */
+  readonly changeId: string;
+  /**
+   * Version of the object when the holder acquired it; 0 in the acquiring
+   * write itself, whose version is not known before it is accepted.
+   */
+  readonly fencingNumber: number;
+  /** True when the holder gave the lease up before it expired. */
+  readonly released: boolean;
+}
+
+/** Parses a stored value; undefined when it is no lease. */
+export function parseLeaseRecord(value: unknown): LeaseRecord | undefined {
+  if (typeof value !== "object" || value === null) return undefined;
+  const fields = value as Partial<Record<keyof LeaseRecord, unknown>>;
+  const { holder, address, changeId, fencingNumber, released } = fields;
+  const isValid = typeof holder === "string" && typeof address === "string" &&
+    typeof changeId === "string" && Number.isSafeInteger(fencingNumber) &&
+    typeof released === "boolean";
+  return isValid ? value as LeaseRecord : undefined;
+}
+
+/** Returns the fencing number of the lease object at `version`. */
+export function getFencingNumber(
+  record: LeaseRecord,
+  version: number,
+): number {
+  return record.fencingNumber === 0 ? version : record.fencingNumber;
+}
--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -4,6 +4,12 @@
  * their own.
  */
 export * as assignment from "./assignment.ts";
+export * as bundle from "./bundle.ts";
 export * as clock from "./clock.ts";
+export * as fencing from "./fencing.ts";
+export * as lease from "./lease.ts";
+export * as leaseDriver from "./lease_driver.ts";
+export * as leaseRecord from "./lease_record.ts";
 export * as random from "./random.ts";
 export * as rendezvous from "./rendezvous.ts";
+export * as versionedStore from "./versioned_store.ts";
--- /dev/null
+++ b/packages/coordination/src/testing/lease_node.ts
@@ -0,0 +1,75 @@
+/** A simulated node that runs a lease machine against a simulated store. */
+import * as lease from "../lease.ts";
+import type * as random from "../random.ts";
+import type * as simulation from "./simulation.ts";
+
+export interface LeaseNodeOptions {
+  readonly id: string;
+  readonly key: string;
+  readonly simulation: simulation.Simulation;
+  readonly store: simulation.SimulatedStore;
+  readonly random: random.RandomSource;
+  readonly getPlace: () => number;
+  readonly node: simulation.SimulatedNode;
+  readonly onStarted?: (fencingNumber: number) => void;
+}
+
+/** Starts the machine on the node; returns it for inspection. */
+export function runLeaseNode(options: LeaseNodeOptions): lease.Lease {
+  const { node, store, key } = options;
+  const timers = new Map<lease.TimerName, AbortController>();
+  let nextId = 0;
+  const machine = lease.createLease({
+    clock: options.simulation,
+    random: options.random,
+    createId: () => `${options.id}-${nextId++}`,
+    holder: options.id,
+    address: `${options.id}:1`,
+    getPlace: options.getPlace,
+  });
+
+  function setTimer(name: lease.TimerName, delayMs: number): void {
+    timers.get(name)?.abort();
+    const replaced = new AbortController();
+    timers.set(name, replaced);
+    const { signal } = replaced;
+    options.simulation.schedule(
+      () => node.run(() => signal.aborted || feed({ kind: "timer", name })),
+      { delayMs, signal },
+    );
+  }
+
+  function execute(effect: lease.LeaseEffect): void {
+    switch (effect.kind) {
+      case "read":
+        return store.read(
+          key,
+          (outcome) => node.run(() => feed({ kind: "read", outcome })),
+        );
+      case "write":
+        return store.write(
+          { key, value: effect.record, ifVersion: effect.ifVersion },
+          (outcome) => node.run(() => feed({ kind: "written", outcome })),
+        );
+      case "set_timer":
+        return setTimer(effect.name, effect.delayMs);
+      case "started_holding":
+        return options.onStarted?.(effect.fencingNumber);
+      case "stopped_holding":
+        return;
+    }
+  }
+
+  function feed(event: lease.LeaseEvent): void {
+    for (const effect of machine.handle(event)) execute(effect);
+  }
+
+  feed({ kind: "start" });
+  return {
+    ...machine,
+    handle(event) {
+      feed(event);
+      return [];
+    },
+  };
+}
