--- /dev/null
+++ b/packages/coordination/src/conditional_write.ts
@@ -0,0 +1,160 @@
+/**
+ * One conditional write whose answer may be lost, as a deterministic state
+ * machine. Each value carries a change id, by which an accepted write is
+ * recognised when it is read back. A value that is not found at the version of
+ * the condition is written again under the same condition: at most one of the
+ * writes can take effect, and once the version has moved on none of them can.
+ */
+import type * as versionedStore from "./versioned_store.ts";
+
+export type SettledWrite =
+  | { readonly kind: "accepted"; readonly version: number }
+  /** Surely not written, and never will be. */
+  | {
+    readonly kind: "conflict";
+    readonly current?: versionedStore.StoredObject;
+  }
+  /** Surely not written; the store could not be asked. */
+  | versionedStore.Unavailable
+  /** Whether it was written is not known; ask again with the change id. */
+  | { readonly kind: "unknown"; readonly message: string };
+
+export type WriteEvent =
+  | { readonly kind: "start" }
+  | { readonly kind: "written"; readonly outcome: versionedStore.WriteOutcome }
+  | { readonly kind: "read"; readonly outcome: versionedStore.ReadOutcome }
+  | { readonly kind: "waited" };
+
+export type WriteEffect =
+  | { readonly kind: "write" }
+  | { readonly kind: "read" }
+  /** Answer with `waited` after the delay. */
+  | { readonly kind: "wait"; readonly delayMs: number }
+  | { readonly kind: "settled"; readonly outcome: SettledWrite };
+
+export interface ConditionalWrite {
+  handle(event: WriteEvent): WriteEffect;
+}
+
+export interface WriteOptions {
+  /** Version that the key must have. */
+  readonly ifVersion: number;
+  /** Whether a stored value is or follows the written one. */
+  readonly isOwn: (value: unknown) => boolean;
+  /**
+   * Reads without an answer after which the outcome is given as unknown.
+   * @default 5
+   */
+  readonly maxReads?: number;
+  /** @default 200 */
+  readonly retryDelayMs?: number;
+}
+
+const defaultMaxReads = 5;
+const defaultRetryDelayMs = 200;
+
+/** Creates the machine of one write. */
+export function createConditionalWrite(
+  options: WriteOptions,
+): ConditionalWrite {
+  const maxReads = options.maxReads ?? defaultMaxReads;
+  const delayMs = options.retryDelayMs ?? defaultRetryDelayMs;
+  let isDoubtful = false;
+  let failedReads = 0;
+
+  function settle(outcome: SettledWrite): WriteEffect {
+    return { kind: "settled", outcome };
+  }
+
+  function settleObject(
+    current: versionedStore.StoredObject | undefined,
+  ): WriteEffect {
+    if (current !== undefined && options.isOwn(current.value)) {
+      return settle({ kind: "accepted", version: current.version });
+    }
+    return settle({ kind: "conflict", current });
+  }
+
+  function retryRead(message: string): WriteEffect {
+    failedReads += 1;
+    if (failedReads >= maxReads) return settle({ kind: "unknown", message });
+    return { kind: "wait", delayMs };
+  }
+
+  function handleWritten(outcome: versionedStore.WriteOutcome): WriteEffect {
+    switch (outcome.kind) {
+      case "accepted":
+        return settle(outcome);
+      case "conflict":
+        return { kind: "read" };
+      case "unknown":
+        isDoubtful = true;
+        return { kind: "read" };
+      case "unavailable":
+        return isDoubtful ? retryRead(outcome.message) : settle(outcome);
+    }
+  }
+
+  function handleRead(outcome: versionedStore.ReadOutcome): WriteEffect {
+    if (outcome.kind === "unavailable") return retryRead(outcome.message);
+    const current = outcome.kind === "found" ? outcome.object : undefined;
+    const isUnchanged = (current?.version ?? 0) === options.ifVersion;
+    return isUnchanged ? { kind: "write" } : settleObject(current);
+  }
+
+  return {
+    handle(event) {
+      switch (event.kind) {
+        case "start":
+          return { kind: "write" };
+        case "written":
+          return handleWritten(event.outcome);
+        case "read":
+          return handleRead(event.outcome);
+        case "waited":
+          return { kind: "read" };
+      }
+    },
+  };
+}
+
+export interface DriveOptions extends WriteOptions {
+  readonly key: string;
+  readonly value: unknown;
+  readonly store: versionedStore.VersionedStore;
+  readonly schedule: versionedStore.Schedule;
+}
+
+/** Writes the value and settles the outcome. */
+export async function writeSettled(
+  options: DriveOptions,
+): Promise<SettledWrite> {
+  const { store, key, ifVersion } = options;
+  const machine = createConditionalWrite(options);
+  let effect = machine.handle({ kind: "start" });
+  for (;;) {
+    switch (effect.kind) {
+      case "write": {
+        const outcome = await store.write(key, options.value, { ifVersion });
+        effect = machine.handle({ kind: "written", outcome });
+        break;
+      }
+      case "read":
+        effect = machine.handle({
+          kind: "read",
+          outcome: await store.read(key),
+        });
+        break;
+      case "wait": {
+        const { delayMs } = effect;
+        await new Promise<void>((resolve) =>
+          options.schedule(resolve, { delayMs })
+        );
+        effect = machine.handle({ kind: "waited" });
+        break;
+      }
+      case "settled":
+        return effect.outcome;
+    }
+  }
+}
--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -6,7 +6,9 @@
 export * as assignment from "./assignment.ts";
 export * as bundle from "./bundle.ts";
 export * as clock from "./clock.ts";
+export * as conditionalWrite from "./conditional_write.ts";
 export * as fencing from "./fencing.ts";
+export * as handover from "./handover.ts";
 export * as lease from "./lease.ts";
 export * as leaseDriver from "./lease_driver.ts";
 export * as leaseRecord from "./lease_record.ts";
