--- a/packages/anvilhinge/src/adapters/assignment_codec.ts
+++ b/packages/anvilhinge/src/adapters/assignment_codec.ts
@@ -1,5 +1,6 @@
 /** Converts assignments between the wire, the object API and the state machines. */
 import type * as assignment from "@anvilhinge/coordination/assignment";
+import type * as handover from "@anvilhinge/coordination/handover";
 import * as protobuf from "@bufbuild/protobuf";
 import * as zod from "zod";
 import * as entryPb from "../gen/anvilhinge/v1/entry_pb.ts";
@@ -12,6 +13,10 @@
   nextHalf: zod.string().min(1).optional(),
 });
 
+const recordSchema = schema.extend({
+  changeIds: zod.array(zod.string()).readonly().default([]),
+});
+
 /** Prefix of the keys of assignments in the object API. */
 export const assignmentPrefix = "assignments/";
 
@@ -23,6 +28,19 @@
   return result.success ? result.data : undefined;
 }
 
+/** Formats the key of a group's assignment. */
+export function formatKey(group: string): string {
+  return `${assignmentPrefix}${group}`;
+}
+
+/** As `parseAssignment`, with the ids of the changes that led to the value. */
+export function parseRecord(
+  value: unknown,
+): handover.AssignmentRecord | undefined {
+  const result = recordSchema.safeParse(value);
+  return result.success ? result.data : undefined;
+}
+
 /** Encodes an assignment for the wire. */
 export function encodeAssignment(
   value: assignment.Assignment,
--- /dev/null
+++ b/packages/anvilhinge/src/agent/entry_client.ts
@@ -0,0 +1,38 @@
+/** Calls entries with connect-es on behalf of an agent. */
+import * as connect from "@connectrpc/connect";
+import * as connectNode from "@connectrpc/connect-node";
+import * as entryPb from "../gen/anvilhinge/v1/entry_pb.ts";
+import type * as drainedReporter from "./drained_reporter.ts";
+
+const callTimeoutMs = 2_000;
+const idleConnectionTimeoutMs = 5_000;
+
+/** Creates the function that sends drained reports. */
+export function createReportSender(
+  options: { readonly signal: AbortSignal },
+): drainedReporter.ReporterOptions["send"] {
+  return async (address, report) => {
+    const baseUrl = `http://${address}`;
+    const sessionManager = new connectNode.Http2SessionManager(baseUrl, {
+      idleConnectionTimeoutMs,
+    });
+    const client = connect.createClient(
+      entryPb.EntryService,
+      connectNode.createConnectTransport({
+        baseUrl,
+        httpVersion: "2",
+        sessionManager,
+      }),
+    );
+    try {
+      const { signal } = options;
+      const callOptions = { timeoutMs: callTimeoutMs, signal };
+      return (await client.reportDrained(report, callOptions)).accepted;
+    } catch {
+      return false;
+    } finally {
+      // Reports are rare; a kept connection would join each rank to entries.
+      sessionManager.abort();
+    }
+  };
+}
--- a/packages/anvilhinge/src/agent/mod.ts
+++ b/packages/anvilhinge/src/agent/mod.ts
@@ -4,19 +4,28 @@
 import * as awilix from "awilix";
 import * as connectServer from "../adapters/connect_server.ts";
 import * as engineHttp from "../adapters/engine_http.ts";
+import * as engineOrdersHttp from "../adapters/engine_orders_http.ts";
+import * as objectStoreHttp from "../adapters/object_store_http.ts";
 import * as systemScheduler from "../adapters/system_scheduler.ts";
 import type * as engine from "../ports/engine.ts";
+import type * as objectStore from "../ports/object_store.ts";
 import type * as scheduler from "../ports/scheduler.ts";
 import type * as process from "../settings/process.ts";
 import * as logger from "../telemetry/logger.ts";
 import * as tracing from "../telemetry/tracing.ts";
+import * as assignmentGate from "./assignment_gate.ts";
 import * as assignmentFollower from "./assignment_follower.ts";
 import * as attempts from "./attempts.ts";
+import * as drainedReporter from "./drained_reporter.ts";
+import * as entryClient from "./entry_client.ts";
+import * as orderService from "./order_service.ts";
+import * as orders from "./orders.ts";
 import * as service from "./service.ts";
 
 /** Adapters that replace the ones built from the settings. */
 export interface AgentAdapters {
   readonly engine?: engine.Engine;
+  readonly store?: objectStore.ObjectStore;
   readonly logStream?: NodeJS.WritableStream;
 }
 
@@ -37,7 +46,9 @@
   readonly scheduler: scheduler.Scheduler;
   readonly random: random.RandomSource;
   readonly engine: engine.Engine;
+  readonly store: objectStore.ObjectStore;
   readonly attempts: attempts.Attempts;
+  readonly orders: orders.Orders;
   readonly service: service.AgentService;
   readonly logger: logger.Logger;
   readonly tracing: tracing.Tracing;
@@ -46,6 +57,8 @@
 const loadIntervalMs = 100;
 const expireIntervalMs = 1_000;
 const drainPollMs = 50;
+const platformTimeoutMs = 2_000;
+const orderTimeoutMs = 2_000;
 
 /** Registers the parts of an agent. */
 function composeParts(
@@ -73,6 +86,27 @@
         signal: abort.signal,
       })
     ).singleton(),
+    store: awilix.asFunction(() =>
+      adapters.store ?? objectStoreHttp.createHttpObjectStore({
+        baseUrl: settings.platform.objectStore,
+        timeoutMs: platformTimeoutMs,
+      })
+    ).singleton(),
+    orders: awilix.asFunction((parts: Parts) =>
+      orders.createOrders({
+        group: settings.group,
+        checksFencing: settings.engine.checksFencing,
+        engine: engineOrdersHttp.createHttpEngineOrders({
+          baseUrl: settings.engine.url,
+          timeoutMs: orderTimeoutMs,
+          signal: parts.abort.signal,
+        }),
+        store: parts.store,
+        scheduler: parts.scheduler,
+        signal: parts.abort.signal,
+        settleMs: orderTimeoutMs,
+      })
+    ).singleton(),
     attempts: awilix.asFunction((parts: Parts) =>
       attempts.createAttempts({
         clock: parts.scheduler,
@@ -128,11 +162,24 @@
   const { abort, attempts, logger, scheduler } = parts;
   const { signal } = abort;
   const address = await connectServer.startConnectServer({
-    routes: parts.service.routes,
+    routes: (router) => {
+      parts.service.routes(router);
+      const { group, rank } = settings;
+      const { orders } = parts;
+      orderService.registerOrderRoutes(router, { group, rank, orders });
+    },
     ...settings.address,
     signal,
   });
-  assignmentFollower.followAssignment({
+  const gate = assignmentGate.createAssignmentGate({
+    group: settings.group,
+    store: parts.store,
+    onAssignment(received) {
+      attempts.setAssignment(received);
+      parts.orders.raiseEpoch(received.epoch);
+    },
+  });
+  const following = {
     group: settings.group,
     rank: settings.rank,
     incarnation: parts.incarnation,
@@ -140,7 +187,15 @@
     scheduler,
     random: parts.random,
     signal,
-    onAssignment: attempts.setAssignment,
+  };
+  drainedReporter.startReporter({
+    ...following,
+    attempts,
+    send: entryClient.createReportSender({ signal }),
+  });
+  assignmentFollower.followAssignment({
+    ...following,
+    onAssignment: gate.receive,
     onLost: (lost) => logger.warnOnce(lost, `Lost the entry at ${lost}`),
   });
   expireRegularly(parts);
--- a/packages/anvilhinge/src/dev/system.ts
+++ b/packages/anvilhinge/src/dev/system.ts
@@ -214,6 +214,7 @@
         logLevel: options.logLevel ?? "warn",
         logStream: options.logStream,
         platform: localPlatform,
+        store,
       }),
     );
   }
--- a/packages/anvilhinge/src/dev/upstreams.ts
+++ b/packages/anvilhinge/src/dev/upstreams.ts
@@ -1,6 +1,7 @@
 /** Starts the engines, services and agents of one group on loopback. */
 import type * as random from "@anvilhinge/coordination/random";
 import * as agent from "../agent/mod.ts";
+import type * as objectStore from "../ports/object_store.ts";
 import type * as scheduler from "../ports/scheduler.ts";
 import type * as objects from "../settings/objects.ts";
 import type * as process from "../settings/process.ts";
@@ -35,6 +36,7 @@
   readonly logLevel: process.LogLevel;
   readonly logStream?: NodeJS.WritableStream;
   readonly platform: system.PlatformAddresses;
+  readonly store: objectStore.ObjectStore;
 }
 
 interface StandIn {
@@ -107,7 +109,7 @@
         },
         tracing: { exporter: "none" },
         log: { level: options.logLevel },
-      }, { logStream: options.logStream })
+      }, { logStream: options.logStream, store: options.store })
     ),
   );
   return { name, agents, ...standIn };
--- /dev/null
+++ b/packages/anvilhinge/src/entry/assignment_writer.ts
@@ -0,0 +1,25 @@
+/** Writes a group's record under a condition and settles lost answers. */
+import * as conditionalWrite from "@anvilhinge/coordination/conditional_write";
+import type * as handover from "@anvilhinge/coordination/handover";
+import * as assignmentCodec from "../adapters/assignment_codec.ts";
+import type * as context from "./context.ts";
+
+export type WriterContext = Pick<context.EntryContext, "store" | "scheduler">;
+
+/** Writes `next.record` over the version `next.version`; 0 = it is the first. */
+export function writeRecord(
+  entry: WriterContext,
+  next: handover.StoredRecord,
+): Promise<conditionalWrite.SettledWrite> {
+  const { record, version } = next;
+  const changeId = record.changeIds[0] ?? "";
+  return conditionalWrite.writeSettled({
+    store: entry.store,
+    schedule: entry.scheduler.schedule,
+    key: assignmentCodec.formatKey(record.group),
+    value: record,
+    ifVersion: version,
+    isOwn: (value) =>
+      assignmentCodec.parseRecord(value)?.changeIds.includes(changeId) ?? false,
+  });
+}
--- a/packages/anvilhinge/src/entry/catalog.ts
+++ b/packages/anvilhinge/src/entry/catalog.ts
@@ -27,6 +27,8 @@
   /** Groups by name; the definition of the owning half goes first. */
   findGroup(name: string, half: string): objects.Group | undefined;
   listGroupNames(): readonly string[];
+  /** Subtrees that define a group, `/<half>/<team>`. */
+  listGroupSubtrees(name: string): readonly string[];
   /** Half under whose subtree a group was first defined. */
   findGroupHome(name: string): string | undefined;
   /** Weight of step-time skew that the half set; undefined = its default. */
@@ -109,6 +111,8 @@
       return content?.kind === "groups" ? content.value : undefined;
     },
     listGroupNames: () => [...groupPaths.keys()],
+    listGroupSubtrees: (name) =>
+      listGroupObjects(name).map(({ path }) => `/${path.half}/${path.team}`),
     findGroupHome: (name) => listGroupObjects(name)[0]?.path.half,
     findSkewWeight(half) {
       for (const object of byPath.values()) {
--- a/packages/anvilhinge/src/entry/control_service.ts
+++ b/packages/anvilhinge/src/entry/control_service.ts
@@ -1,9 +1,13 @@
-/** Serves the entry's messages to agents: assignments of the groups they follow. */
+/**
+ * Serves the entry's messages to agents and other entries: assignments of the
+ * groups that agents follow, and the progress of moves.
+ */
 import type * as assignment from "@anvilhinge/coordination/assignment";
 import type * as connect from "@connectrpc/connect";
 import * as assignmentCodec from "../adapters/assignment_codec.ts";
 import * as streamQueue from "../adapters/stream_queue.ts";
 import * as entryPb from "../gen/anvilhinge/v1/entry_pb.ts";
+import type * as controlDuties from "./control_duties.ts";
 
 /** Distributes assignments to the agents that follow this entry. */
 export interface ControlService {
@@ -17,6 +21,10 @@
 
 export interface ControlServiceOptions {
   readonly findAssignment: (group: string) => assignment.Assignment | undefined;
+  readonly duties: Pick<
+    controlDuties.ControlDuties,
+    "report" | "getOwnProgress"
+  >;
 }
 
 /** Creates the service; it holds one queue for each follower. */
@@ -55,6 +63,17 @@
       router.service(entryPb.EntryService, {
         followGroup: (request, context) =>
           follow(request.group, context.signal),
+        async reportDrained(request) {
+          return { accepted: await options.duties.report(request) };
+        },
+        getMove({ group }) {
+          const progress = options.duties.getOwnProgress(group);
+          return {
+            inCharge: progress !== undefined,
+            epoch: progress?.epoch,
+            waitingFor: [...progress?.waitingFor ?? []],
+          };
+        },
       });
     },
     publish(received) {
--- /dev/null
+++ b/packages/anvilhinge/src/entry/duties.ts
@@ -0,0 +1,99 @@
+/**
+ * The control duties that this entry holds: one lease for each bundle of its
+ * half. Orders and writes of a duty carry the fencing number of its lease.
+ */
+import * as bundle from "@anvilhinge/coordination/bundle";
+import * as lease from "@anvilhinge/coordination/lease";
+import * as leaseDriver from "@anvilhinge/coordination/lease_driver";
+import * as leaseKey from "../adapters/lease_key.ts";
+import type * as context from "./context.ts";
+
+export type DutiesContext = Pick<
+  context.EntryContext,
+  | "settings"
+  | "store"
+  | "scheduler"
+  | "random"
+  | "createId"
+  | "listMembers"
+  | "logger"
+>;
+
+export interface Duties {
+  /** Whether this entry holds the lease of the duty, by the clock of now. */
+  isHolder(dutyKey: string): boolean;
+  /** Fencing number of the duty's lease; undefined unless it is held here. */
+  getFencingNumber(dutyKey: string): number | undefined;
+  /** Numbers of the bundles that are held here. */
+  listHeld(): readonly number[];
+  /** Starts to compete for the leases; others reach the holder at `address`. */
+  start(address: string): void;
+  /** Gives up what is held. */
+  stop(): Promise<void>;
+}
+
+interface RunningLease {
+  readonly machine: lease.Lease;
+  readonly driver: leaseDriver.LeaseDriver;
+}
+
+/** Creates the duties of one entry; it holds none before `start`. */
+export function createDuties(
+  entry: DutiesContext,
+  options: { readonly signal: AbortSignal },
+): Duties {
+  const { settings, scheduler, logger } = entry;
+  const holder = `${settings.id}/${entry.createId()}`;
+  const leases: RunningLease[] = [];
+
+  function startLease(bundleNumber: number, address: string): RunningLease {
+    const key = leaseKey.formatLeaseKey(settings.half, bundleNumber);
+    const machine = lease.createLease({
+      clock: scheduler,
+      random: entry.random,
+      createId: entry.createId,
+      holder,
+      address,
+      getPlace() {
+        const live = entry.listMembers().filter((member) =>
+          member.state === "live"
+        );
+        return bundle.rankCandidate(live, { key, id: settings.id });
+      },
+    });
+    const driver = leaseDriver.driveLease({
+      lease: machine,
+      key,
+      store: entry.store,
+      schedule: scheduler.schedule,
+      signal: options.signal,
+      onStarted: (fencingNumber) =>
+        logger.info(`Holds ${key} with fencing number ${fencingNumber}`),
+      onStopped: () => logger.info(`No longer holds ${key}`),
+    });
+    return { machine, driver };
+  }
+
+  function getFencingNumber(dutyKey: string): number | undefined {
+    const { bundlesPerHalf } = leaseKey;
+    const bundleNumber = bundle.selectBundle(dutyKey, bundlesPerHalf);
+    return leases[bundleNumber]?.machine.getHeld();
+  }
+
+  return {
+    isHolder: (dutyKey) => getFencingNumber(dutyKey) !== undefined,
+    getFencingNumber,
+    listHeld: () =>
+      leases.flatMap(({ machine }, bundleNumber) =>
+        machine.getHeld() === undefined ? [] : [bundleNumber]
+      ),
+    start(address) {
+      for (let number = 0; number < leaseKey.bundlesPerHalf; number += 1) {
+        leases.push(startLease(number, address));
+      }
+    },
+    async stop() {
+      await Promise.all(leases.map(({ driver }) => driver.release()));
+    },
+  };
+}
--- /dev/null
+++ b/packages/anvilhinge/src/entry/entry_client.ts
@@ -0,0 +1,78 @@
+/** Calls other entries with connect-es. */
+import type * as handover from "@anvilhinge/coordination/handover";
+import * as connect from "@connectrpc/connect";
+import * as connectNode from "@connectrpc/connect-node";
+import * as entryPb from "../gen/anvilhinge/v1/entry_pb.ts";
+
+/** A rank's report that it has no work of an older epoch left. */
+export interface GroupReport extends handover.DrainedReport {
+  readonly group: string;
+  readonly incarnation: string;
+}
+
+/** What the entry in charge knows of a move. */
+export interface MoveProgress {
+  readonly epoch: number;
+  readonly waitingFor: readonly number[];
+}
+
+export interface EntryClient {
+  /** Resolves to whether the entry took the report. */
+  forwardReport(address: string, report: GroupReport): Promise<boolean>;
+  /** Resolves to undefined when the entry is not in charge of the group. */
+  getMove(address: string, group: string): Promise<MoveProgress | undefined>;
+}
+
+const callTimeoutMs = 1_000;
+const idleConnectionTimeoutMs = 10_000;
+
+/** Creates a client; connections end soon after their last use. */
+export function createEntryClient(
+  options: { readonly signal: AbortSignal },
+): EntryClient {
+  type Client = connect.Client<typeof entryPb.EntryService>;
+  const clients = new Map<string, Client>();
+
+  function getClient(address: string): Client {
+    const known = clients.get(address);
+    if (known !== undefined) return known;
+    const baseUrl = `http://${address}`;
+    const sessionManager = new connectNode.Http2SessionManager(baseUrl, {
+      idleConnectionTimeoutMs,
+    });
+    options.signal.addEventListener("abort", () => sessionManager.abort(), {
+      once: true,
+    });
+    const client = connect.createClient(
+      entryPb.EntryService,
+      connectNode.createConnectTransport({
+        baseUrl,
+        httpVersion: "2",
+        sessionManager,
+      }),
+    );
+    clients.set(address, client);
+    return client;
+  }
+
+  const callOptions = { timeoutMs: callTimeoutMs, signal: options.signal };
+  return {
+    async forwardReport(address, report) {
+      try {
+        const request = { ...report, forwarded: true };
+        const client = getClient(address);
+        return (await client.reportDrained(request, callOptions)).accepted;
+      } catch {
+        return false;
+      }
+    },
+    async getMove(address, group) {
+      try {
+        const answer = await getClient(address).getMove({ group }, callOptions);
+        return answer.inCharge ? answer : undefined;
+      } catch {
+        return undefined;
+      }
+    },
+  };
+}
--- /dev/null
+++ b/packages/anvilhinge/src/entry/handover_duty.ts
@@ -0,0 +1,233 @@
+/**
+ * The handover duty of one entry: for each group of its half whose lease it
+ * holds, completes moves once all ranks have reported, and creates the first
+ * record of a group that the settings define. Works from the present state at
+ * intervals, so that a lost event delays a step but does not lose it.
+ */
+import * as handover from "@anvilhinge/coordination/handover";
+import * as assignmentCodec from "../adapters/assignment_codec.ts";
+import * as assignmentWriter from "./assignment_writer.ts";
+import type * as context from "./context.ts";
+import type * as duties from "./duties.ts";
+import type * as entryClient from "./entry_client.ts";
+
+export type HandoverContext = Pick<
+  context.EntryContext,
+  | "settings"
+  | "store"
+  | "scheduler"
+  | "createId"
+  | "catalog"
+  | "upstreams"
+  | "logger"
+  | "state"
+>;
+
+/** A group name that several subtrees define before it has an owner. */
+export interface GroupConflict {
+  readonly group: string;
+  /** Subtrees that define it, `/<half>/<team>`. */
+  readonly subtrees: readonly string[];
+}
+
+export interface HandoverDuty {
+  /** Takes a report; false unless this entry is in charge of the group. */
+  report(received: entryClient.GroupReport): Promise<boolean>;
+  getProgress(group: string): entryClient.MoveProgress | undefined;
+  listConflicts(): readonly GroupConflict[];
+  /** Works until the signal aborts. */
+  start(): void;
+}
+
+export interface HandoverDutyOptions {
+  readonly duties: Pick<duties.Duties, "isHolder">;
+  readonly signal: AbortSignal;
+}
+
+interface Move {
+  readonly machine: handover.Handover;
+  /** Epoch of the leaving record. */
+  readonly epoch: number;
+}
+
+const updateIntervalMs = 500;
+
+/** Creates the duty; it writes nothing before `start`. */
+export function createHandoverDuty(
+  entry: HandoverContext,
+  options: HandoverDutyOptions,
+): HandoverDuty {
+  const { store, scheduler } = entry;
+  const moves = new Map<string, Move>();
+  const creating = new Set<string>();
+  const loading = new Map<string, Promise<Move | undefined>>();
+  let conflicts: readonly GroupConflict[] = [];
+
+  function countRanks(group: string, half: string): number {
+    return entry.catalog.findGroup(group, half)?.ranks.length ?? 0;
+  }
+
+  function feed(
+    group: string,
+    machine: handover.Handover,
+    event: handover.HandoverEvent,
+  ): void {
+    for (const effect of machine.handle(event)) {
+      execute(group, machine, effect);
+    }
+  }
+
+  function execute(
+    group: string,
+    machine: handover.Handover,
+    effect: handover.HandoverEffect,
+  ): void {
+    const isCurrent = () =>
+      moves.get(group)?.machine === machine && !options.signal.aborted;
+    switch (effect.kind) {
+      case "write":
+        void assignmentWriter.writeRecord(entry, {
+          record: effect.next,
+          version: effect.ifVersion,
+        }).then((outcome) => {
+          if (outcome.kind === "accepted") {
+            const { half, epoch } = effect.next;
+            entry.logger.info(
+              `Moved group ${group} to ${half}, epoch ${epoch}`,
+            );
+          }
+          if (isCurrent()) feed(group, machine, { kind: "settled", outcome });
+        });
+        return;
+      case "set_timer":
+        scheduler.schedule(() => {
+          if (isCurrent()) feed(group, machine, { kind: "timer" });
+        }, { delayMs: effect.delayMs, signal: options.signal });
+        return;
+    }
+  }
+
+  async function readRecord(
+    group: string,
+  ): Promise<handover.StoredRecord | undefined> {
+    const outcome = await store.read(assignmentCodec.formatKey(group));
+    if (outcome.kind !== "found") return undefined;
+    const record = assignmentCodec.parseRecord(outcome.object.value);
+    if (record === undefined) return undefined;
+    return { record, version: outcome.object.version };
+  }
+
+  async function loadMove(group: string): Promise<Move | undefined> {
+    const stored = await readRecord(group);
+    if (stored?.record.state !== "leaving") return undefined;
+    const { half, epoch } = stored.record;
+    const rankCount = countRanks(group, half);
+    if (half !== entry.settings.half || rankCount === 0) return undefined;
+    const machine = handover.createHandover({
+      rankCount,
+      createId: entry.createId,
+    });
+    const move = { machine, epoch };
+    moves.set(group, move);
+    feed(group, machine, { kind: "observed", stored });
+    return move;
+  }
+
+  /** Returns the move at `epoch`, read from the store unless it is known. */
+  function findMove(group: string, epoch: number): Promise<Move | undefined> {
+    const known = moves.get(group);
+    if (known !== undefined && known.epoch >= epoch) {
+      return Promise.resolve(known);
+    }
+    const pending = loading.get(group) ??
+      loadMove(group).finally(() => loading.delete(group));
+    loading.set(group, pending);
+    return pending;
+  }
+
+  function updateMoves(): void {
+    const leaving = entry.upstreams.listAssignments().filter((known) =>
+      known.state === "leaving" && known.half === entry.settings.half &&
+      options.duties.isHolder(known.group)
+    );
+    for (const [group, move] of moves) {
+      const present = entry.upstreams.findAssignment(group);
+      const isOver = present !== undefined && present.epoch > move.epoch;
+      if (isOver || !options.duties.isHolder(group)) moves.delete(group);
+    }
+    for (const { group, epoch, half } of leaving) {
+      void findMove(group, epoch).then((move) => {
+        const rankCount = countRanks(group, half);
+        if (move === undefined || rankCount === 0) return;
+        feed(group, move.machine, { kind: "ranks", rankCount });
+      });
+    }
+  }
+
+  async function createRecord(group: string, half: string): Promise<void> {
+    creating.add(group);
+    const changeId = entry.createId();
+    const record = handover.buildInitialRecord(group, { half, changeId });
+    const outcome = await assignmentWriter.writeRecord(entry, {
+      record,
+      version: 0,
+    });
+    creating.delete(group);
+    if (outcome.kind === "accepted") {
+      entry.logger.info(`Assigned the new group ${group} to ${half}`);
+    }
+  }
+
+  function updateGroups(): void {
+    const found: GroupConflict[] = [];
+    for (const group of entry.catalog.listGroupNames()) {
+      if (entry.upstreams.findAssignment(group) !== undefined) continue;
+      const subtrees = entry.catalog.listGroupSubtrees(group);
+      if (subtrees.length > 1) {
+        found.push({ group, subtrees });
+        entry.logger.warnOnce(
+          `conflict ${group}`,
+          `Group ${group} is defined under ${subtrees.join(" and ")}; ` +
+            "rename it in all but one",
+        );
+        continue;
+      }
+      const half = entry.catalog.findGroupHome(group);
+      const isMine = half === entry.settings.half &&
+        options.duties.isHolder(group) && !creating.has(group);
+      if (half !== undefined && isMine) void createRecord(group, half);
+    }
+    conflicts = found;
+  }
+
+  function updateAll(): void {
+    if (entry.state.isReady) {
+      updateMoves();
+      updateGroups();
+    }
+    scheduler.schedule(updateAll, {
+      delayMs: updateIntervalMs,
+      signal: options.signal,
+    });
+  }
+
+  return {
+    async report(received) {
+      const { group, epoch } = received;
+      if (!options.duties.isHolder(group)) return false;
+      const move = await findMove(group, epoch);
+      if (move === undefined) return false;
+      feed(group, move.machine, { kind: "drained", report: received });
+      return true;
+    },
+    getProgress(group) {
+      const move = moves.get(group);
+      const progress = move?.machine.getProgress();
+      return move !== undefined && progress?.kind === "pending"
+        ? { epoch: move.epoch, waitingFor: progress.waitingFor }
+        : undefined;
+    },
+    listConflicts: () => conflicts,
+    start: updateAll,
+  };
+}
--- a/packages/anvilhinge/src/entry/mod.ts
+++ b/packages/anvilhinge/src/entry/mod.ts
@@ -20,7 +20,9 @@
 import * as callersHttp from "./callers_http.ts";
 import * as catalog from "./catalog.ts";
 import type * as context from "./context.ts";
+import * as controlDuties from "./control_duties.ts";
 import * as controlService from "./control_service.ts";
+import * as movesHttp from "./moves_http.ts";
 import * as operatorsHttp from "./operators_http.ts";
 import * as upstreams from "./upstreams.ts";
 import * as view from "./view.ts";
@@ -47,6 +49,7 @@
   readonly abort: AbortController;
   readonly instances: instanceList.InstanceList;
   readonly control: controlService.ControlService;
+  readonly duties: controlDuties.ControlDuties;
 }
 
 const membersIntervalMs = 500;
@@ -91,11 +94,15 @@
     client: awilix.asFunction(({ abort }: Parts) =>
       agentClient.createAgentClient({ signal: abort.signal })
     ).singleton(),
-    control: awilix.asFunction(({ upstreams }: Parts) =>
+    control: awilix.asFunction(({ upstreams, duties }: Parts) =>
       controlService.createControlService({
         findAssignment: upstreams.findAssignment,
+        duties,
       })
     ).singleton(),
+    duties: awilix.asFunction((parts: Parts) =>
+      controlDuties.createControlDuties(parts, { signal: parts.abort.signal })
+    ).singleton(),
     logger: awilix.asFunction(() =>
       logger.createLogger({
         part: "entry",
@@ -172,6 +179,7 @@
   );
   app.use(callersHttp.createCallersRouter(parts).routes());
   app.use(operatorsHttp.createOperatorsRouter(parts).routes());
+  app.use(movesHttp.createMovesRouter(parts).routes());
   app.use((koa) => {
     koa.status = 404;
     koa.body = {
@@ -214,6 +222,7 @@
       },
     })
   );
+  parts.duties.start(controlAddress);
   logger.info(`Serves callers on ${address} and agents on ${controlAddress}`);
 
   function wait(delayMs: number): Promise<void> {
@@ -226,6 +235,7 @@
     async stop() {
       state.isLeaving = true;
       logger.info("Stops being handed out");
+      await parts.duties.stop();
       await wait(settings.addressAnswerTtlMs);
       state.isClosed = true;
       logger.info(`Finishes ${state.openRequests} requests`);
--- /dev/null
+++ b/packages/anvilhinge/src/entry/moves.ts
@@ -0,0 +1,212 @@
+/**
+ * Moves of groups between halves as operators ask for them: who may ask, what
+ * is written, and how the outcome is told.
+ */
+import type * as conditionalWrite from "@anvilhinge/coordination/conditional_write";
+import * as handover from "@anvilhinge/coordination/handover";
+import * as assignmentCodec from "../adapters/assignment_codec.ts";
+import * as assignmentWriter from "./assignment_writer.ts";
+import type * as context from "./context.ts";
+import type * as controlDuties from "./control_duties.ts";
+import * as operatorTokens from "./operator_tokens.ts";
+
+export interface MovesContext extends
+  Pick<
+    context.EntryContext,
+    "settings" | "store" | "scheduler" | "catalog"
+  > {
+  readonly duties: Pick<
+    controlDuties.ControlDuties,
+    "findProgress" | "listConflicts"
+  >;
+}
+
+/** Asks for a group to be handed to a half; its present half cancels a move. */
+export interface MoveOrder {
+  readonly group: string;
+  readonly to: string;
+}
+
+/** Status and JSON body of an answer over HTTP. */
+export interface Answer {
+  readonly status: number;
+  readonly body: Readonly<Record<string, unknown>>;
+}
+
+export interface Moves {
+  start(
+    order: MoveOrder,
+    options: { readonly authorization: string; readonly changeId: string },
+  ): Promise<Answer>;
+  /** Tells where the group is, and for a pending move what it waits for. */
+  describe(group: string): Promise<Answer>;
+}
+
+/** Builds an answer that names what went wrong. */
+export function buildError(
+  status: number,
+  code: string,
+  message: string,
+): Answer {
+  return { status, body: { error: { code, message } } };
+}
+
+function buildUnavailable(message: string): Answer {
+  return buildError(
+    503,
+    "unavailable",
+    `The object API is away; nothing was changed: ${message}`,
+  );
+}
+
+function describeRecord(record: handover.AssignmentRecord): Answer["body"] {
+  const { group, half, epoch, state, nextHalf } = record;
+  return { group, half, epoch, state, ...nextHalf && { nextHalf } };
+}
+
+/** Creates the operations of moves at one entry. */
+export function createMoves(entry: MovesContext): Moves {
+  /** A token moves what its subtrees define, or what no own subtree defines. */
+  function isAllowed(
+    operator: operatorTokens.Operator,
+    record: handover.AssignmentRecord,
+  ): boolean {
+    const prefix = `/${record.half}/`;
+    const own = operator.subtrees.filter((subtree) =>
+      subtree.startsWith(prefix)
+    );
+    const defining = entry.catalog.listGroupSubtrees(record.group)
+      .filter((subtree) => subtree.startsWith(prefix));
+    if (defining.length === 0) return own.length > 0;
+    return defining.some((subtree) => own.includes(subtree));
+  }
+
+  async function readStored(
+    group: string,
+  ): Promise<handover.StoredRecord | Answer> {
+    const outcome = await entry.store.read(assignmentCodec.formatKey(group));
+    if (outcome.kind === "unavailable") {
+      return buildUnavailable(outcome.message);
+    }
+    const record = outcome.kind === "found"
+      ? assignmentCodec.parseRecord(outcome.object.value)
+      : undefined;
+    if (outcome.kind === "missing" || record === undefined) {
+      return refuseMissing(group);
+    }
+    return { record, version: outcome.object.version };
+  }
+
+  function refuseMissing(group: string): Answer {
+    const conflict = entry.duties.listConflicts().find((one) =>
+      one.group === group
+    );
+    if (conflict === undefined) {
+      return buildError(404, "not_found", `Group "${group}" has no owner yet`);
+    }
+    const subtrees = conflict.subtrees.join(" and ");
+    return buildError(
+      409,
+      "defined_twice",
+      `Group "${group}" is defined under ${subtrees}; rename it in all but one`,
+    );
+  }
+
+  async function startMove(
+    order: MoveOrder,
+    options: { readonly authorization: string; readonly changeId: string },
+  ): Promise<Answer> {
+    const { changeId } = options;
+    const operator = operatorTokens.findOperator(
+      entry.settings.operators,
+      options.authorization,
+    );
+    const forbidden = buildError(
+      403,
+      "forbidden",
+      `The token may not move group "${order.group}"`,
+    );
+    if (operator === undefined) return forbidden;
+    const stored = await readStored(order.group);
+    if ("status" in stored) return stored;
+    const { record } = stored;
+    if (!isAllowed(operator, record)) return forbidden;
+    const accepted = (present: handover.AssignmentRecord): Answer => ({
+      status: 200,
+      body: { outcome: "accepted", changeId, ...describeRecord(present) },
+    });
+    if (record.changeIds.includes(changeId)) return accepted(record);
+    const plan = handover.planMove(record, { to: order.to, changeId });
+    switch (plan.kind) {
+      case "unchanged":
+        return {
+          status: 200,
+          body: { outcome: "unchanged", ...describeRecord(record) },
+        };
+      case "conflict":
+        return buildError(409, "conflict", plan.message);
+      case "write": {
+        const { version } = stored;
+        const next = { record: plan.next, version };
+        const outcome = await assignmentWriter.writeRecord(entry, next);
+        if (outcome.kind === "accepted") return accepted(plan.next);
+        return convertOutcome(outcome, changeId);
+      }
+    }
+  }
+
+  function convertOutcome(
+    outcome: Exclude<
+      conditionalWrite.SettledWrite,
+      { readonly kind: "accepted" }
+    >,
+    changeId: string,
+  ): Answer {
+    switch (outcome.kind) {
+      case "conflict": {
+        const current = assignmentCodec.parseRecord(outcome.current?.value);
+        const present = current === undefined
+          ? "gone"
+          : `${current.state} ${current.half} at epoch ${current.epoch}`;
+        const message =
+          `Somebody else changed the group first; it is now ${present}. ` +
+          "Look at it with GET /moves, then ask again if you still want to";
+        return {
+          status: 409,
+          body: {
+            error: { code: "conflict", message },
+            current: {
+              version: outcome.current?.version ?? 0,
+              ...current && describeRecord(current),
+            },
+          },
+        };
+      }
+      case "unavailable":
+        return buildUnavailable(outcome.message);
+      case "unknown":
+        return {
+          status: 202,
+          body: { outcome: "unknown", changeId, message: outcome.message },
+        };
+    }
+  }
+
+  async function describe(group: string): Promise<Answer> {
+    const stored = await readStored(group);
+    if ("status" in stored) return stored;
+    const { record } = stored;
+    if (record.state === "serving") {
+      const body = { outcome: "done", ...describeRecord(record) };
+      return { status: 200, body };
+    }
+    const progress = await entry.duties.findProgress(group);
+    const isPresent = progress?.epoch === record.epoch;
+    // Null means that the entry in charge could not be asked.
+    const waitingFor = isPresent ? progress.waitingFor : null;
+    const body = { outcome: "pending", ...describeRecord(record), waitingFor };
+    return { status: 200, body };
+  }
+
+  return { start: startMove, describe };
+}
--- a/packages/coordination/src/fencing.ts
+++ b/packages/coordination/src/fencing.ts
@@ -55,6 +55,8 @@
 
 export type GateEvent<Order, State> =
   | { readonly kind: "order"; readonly order: FencedOrder<Order> }
+  /** Orders of earlier epochs are no longer accepted. */
+  | { readonly kind: "epoch"; readonly epoch: number }
   | { readonly kind: "settled" }
   | { readonly kind: "floor"; readonly floor: Floor | undefined }
   | {
@@ -138,6 +140,7 @@
   let stage: "unsettled" | "new" | "ready" = options.checksFencing
     ? "new"
     : "unsettled";
+  let lowestEpoch = 0;
   let isBusy = false;
   let running: FencedOrder<Order> | undefined;
   /** Order whose outcome the engine's state must tell. */
@@ -189,12 +192,19 @@
     }
   }
 
+  function raiseEpoch(epoch: number): void {
+    lowestEpoch = Math.max(lowestEpoch, epoch);
+    if (highest === undefined || highest.epoch >= epoch) return;
+    highest = { epoch, fencingNumber: 0, sequence: -1 };
+  }
+
   function handleFloor(floor: Floor | undefined): void {
     if (floor === undefined) {
       return refuseAll("The floor could not be read from the store");
     }
     // Below every sequence number, so that the present holder is accepted.
     highest = { ...floor, sequence: -1 };
+    raiseEpoch(lowestEpoch);
     request({ kind: "read_state" });
   }
 
@@ -238,6 +248,7 @@
 
   function dispatch(event: GateEvent<Order, State>): void {
     if (event.kind === "order") return enqueue(event.order);
+    if (event.kind === "epoch") return raiseEpoch(event.epoch);
     isBusy = false;
     switch (event.kind) {
       case "settled":
