--- a/packages/anvilhinge/src/entry/catalog.ts
+++ b/packages/anvilhinge/src/entry/catalog.ts
@@ -29,6 +29,8 @@
   listGroupNames(): readonly string[];
   /** Settings paths of the groups of this name. */
   listGroupPaths(name: string): readonly string[];
+  /** Subtrees that define a group, `/<half>/<team>`. */
+  listGroupSubtrees(name: string): readonly string[];
   /** Half under whose subtree a group was first defined. */
   findGroupHome(name: string): string | undefined;
   /** Weight of step-time skew that the half set; undefined = its default. */
@@ -112,6 +114,8 @@
     },
     listGroupNames: () => [...groupPaths.keys()],
     listGroupPaths: (name) => [...groupPaths.get(name) ?? []],
+    listGroupSubtrees: (name) =>
+      listGroupObjects(name).map(({ path }) => `/${path.half}/${path.team}`),
     findGroupHome: (name) => listGroupObjects(name)[0]?.path.half,
     findSkewWeight(half) {
       for (const object of byPath.values()) {
