--- /dev/null
+++ b/packages/anvilhinge/src/dev/faults_test.ts
@@ -0,0 +1,92 @@
+import * as nodePath from "node:path";
+import * as random from "@anvilhinge/coordination/random";
+import * as undici from "undici";
+import * as systemScheduler from "../adapters/system_scheduler.ts";
+import * as playground from "../settings/playground.ts";
+import type * as faults from "../stand_ins/faults.ts";
+import * as caller from "./caller.ts";
+import * as system from "./system.ts";
+
+const root = nodePath.join(__dirname, "../../../../playground");
+const workspace = "drafting/milan";
+const testTimeoutMs = 60_000;
+
+describe("upstreams with faults", () => {
+  const abort = new AbortController();
+  let running: system.RunningSystem | undefined;
+  let address: string;
+
+  beforeAll(async () => {
+    const loaded = await playground.loadPlayground(root);
+    if (loaded.kind === "invalid") throw new Error(loaded.problems[0]?.message);
+    running = await system.startSystem({
+      objects: loaded.settings,
+      scheduler: systemScheduler.createSystemScheduler(),
+      random: random.createRandomSource(1),
+      signal: abort.signal,
+      entriesPerHalf: 1,
+      stepMs: 1,
+      addressAnswerTtlMs: 100,
+      logLevel: "error",
+    });
+    address = running.entries.find((entry) => entry.half === "association")!
+      .address;
+    for (let attempt = 0; attempt < 100; attempt += 1) {
+      if ((await sendChat(`wait ${attempt}`)).kind === "complete") return;
+      await new Promise((resolve) => setTimeout(resolve, 50));
+    }
+    throw new Error("The system did not answer");
+  }, testTimeoutMs);
+
+  afterAll(async () => {
+    await running?.stop();
+    abort.abort();
+  }, testTimeoutMs);
+
+  function sendChat(content: string): Promise<caller.ChatOutcome> {
+    const body = { model: "drafting", messages: [{ role: "user", content }] };
+    return caller.sendChat({ address, workspace, body });
+  }
+
+  function listSwitches(): readonly faults.FaultSwitch[] {
+    return running!.groups
+      .filter((group) => group.name.startsWith("drafting-"))
+      .flatMap((group) => group.faults);
+  }
+
+  async function readMetric(name: string): Promise<number> {
+    const response = await undici.request(`http://${address}/metrics`);
+    const text = await response.body.text();
+    const line = text.split("\n").find((found) => found.startsWith(`${name} `));
+    return Number(line?.slice(name.length) ?? 0);
+  }
+
+  test("answers stay whole while a third of the ranks crash", async () => {
+    const crashed = listSwitches().filter((_, index) => index % 3 === 0);
+    for (const faultSwitch of crashed) faultSwitch.set({ kind: "crash" });
+    for (let request = 0; request < 60; request += 1) {
+      const outcome = await sendChat(`crash ${request}`);
+      expect(outcome.kind).toBe("complete");
+    }
+    expect(await readMetric("anvilhinge_ejected_upstreams"))
+      .toBeGreaterThan(0);
+    expect(await readMetric("anvilhinge_ejected_upstreams"))
+      .toBeLessThanOrEqual(crashed.length);
+    for (const faultSwitch of crashed) faultSwitch.set({ kind: "none" });
+  }, testTimeoutMs);
+
+  test("a rank that stalls with open connections is ejected", async () => {
+    const stalls =
+      'anvilhinge_health_changes_total{kind="ejected",cause="stall"}';
+    expect(await readMetric(stalls)).toBe(0);
+    const [stalled] = listSwitches().slice(1);
+    stalled!.set({ kind: "stall" });
+    // One request after another reaches every rank that is not ejected.
+    const outcomes = await Promise.all(
+      Array.from({ length: 60 }, (_, request) => sendChat(`stall ${request}`)),
+    );
+    expect(outcomes.every((outcome) => outcome.kind === "complete")).toBe(true);
+    expect(await readMetric(stalls)).toBeGreaterThan(0);
+    stalled!.set({ kind: "none" });
+  }, testTimeoutMs);
+});
--- a/packages/anvilhinge/src/entry/context.ts
+++ b/packages/anvilhinge/src/entry/context.ts
@@ -10,6 +10,7 @@
 import type * as agentClient from "./agent_client.ts";
 import type * as catalog from "./catalog.ts";
 import type * as upstreams from "./upstreams.ts";
+import type * as workPolicy from "./work_policy.ts";
 
 /** Whether the entry takes work; changed only by its life cycle. */
 export interface EntryState {
@@ -32,6 +33,7 @@
   readonly createId: () => string;
   readonly catalog: catalog.Catalog;
   readonly upstreams: upstreams.UpstreamTable;
+  readonly policy: workPolicy.WorkPolicy;
   readonly client: agentClient.AgentClient;
   readonly logger: logger.Logger;
   readonly metrics: metrics.Metrics;
--- a/packages/anvilhinge/src/entry/mod.ts
+++ b/packages/anvilhinge/src/entry/mod.ts
@@ -22,8 +22,8 @@
 import type * as context from "./context.ts";
 import * as controlService from "./control_service.ts";
 import * as operatorsHttp from "./operators_http.ts";
-import * as upstreams from "./upstreams.ts";
 import * as view from "./view.ts";
+import * as workPolicy from "./work_policy.ts";
 
 /** Adapters that replace the ones built from the settings. */
 export interface EntryAdapters {
@@ -85,9 +85,19 @@
       })
     ).singleton(),
     catalog: awilix.asFunction(catalog.createCatalog).singleton(),
-    upstreams: awilix.asFunction(({ random }: Parts) =>
-      upstreams.createUpstreamTable({ random })
+    policy: awilix.asFunction((parts: Parts) =>
+      workPolicy.createWorkPolicy({
+        scheduler: parts.scheduler,
+        random: parts.random,
+        logger: parts.logger,
+        metrics: parts.metrics,
+        nodeId: settings.id,
+        location: settings,
+        signal: parts.abort.signal,
+      })
     ).singleton(),
+    upstreams: awilix.asFunction(({ policy }: Parts) => policy.upstreams)
+      .singleton(),
     client: awilix.asFunction(({ abort }: Parts) =>
       agentClient.createAgentClient({ signal: abort.signal })
     ).singleton(),
--- a/packages/anvilhinge/src/entry/request_runner.ts
+++ b/packages/anvilhinge/src/entry/request_runner.ts
@@ -9,6 +9,7 @@
 import * as runner from "./runner.ts";
 import * as session from "./session.ts";
 import type * as upstreams from "./upstreams.ts";
+import type * as workPolicy from "./work_policy.ts";
 
 export interface RunOptions {
   readonly need: upstreams.Need;
@@ -33,6 +34,27 @@
     name: "anvilhinge_dropped_frames_total",
     help: "Frames dropped because they do not continue the present attempt",
   });
+  entry.metrics.registerGauge({
+    name: "anvilhinge_ejected_upstreams",
+    help: "Upstreams that are ejected or wait for a probe",
+    read: () => [{ value: entry.policy.countEjected() }],
+  });
+  entry.metrics.registerGauge({
+    name: "anvilhinge_retry_budget",
+    help: "Retries that the budget allows now",
+    read: () => [{ value: entry.policy.countRetries() }],
+  });
+  const countRetry = entry.metrics.createCounter({
+    name: "anvilhinge_retries_total",
+    help: "Retries asked of the budget by outcome",
+    labelNames: ["outcome"],
+  });
+
+  function takeRetry(policy: workPolicy.RequestPolicy): boolean {
+    const isTaken = policy.takeRetry();
+    countRetry({ labels: { outcome: isTaken ? "taken" : "refused" } });
+    return isTaken;
+  }
 
   function startSpan(
     koa: Koa.Context,
@@ -74,39 +96,36 @@
       if (!koa.res.writableFinished) callerGone.abort();
     });
     entry.state.openRequests += 1;
+    const policy = entry.policy.startRequest(request, need);
     const done = runner.runSession({
       request,
       session: session.createSession(request, {
         clock: entry.scheduler,
         createAttemptId: entry.createId,
-        chooseUpstream: (tried) => entry.upstreams.choose(need, tried),
-        takeRetry: () => true,
+        chooseUpstream: policy.chooseUpstream,
+        takeRetry: () => takeRetry(policy),
         resumePoint: point === undefined ? undefined : {
           upstream: requestChecks.findUpstream(entry, point),
           attemptId: point.attemptId,
           fromSequence: point.sequence,
         },
       }),
-      client: entry.client,
+      client: policy.watchFrames(entry.client),
       scheduler: entry.scheduler,
       sink: writer,
       callerSignal: callerGone.signal,
       headers: getTraceHeaders(span),
       onDispatch(upstream) {
         countAttempt();
-        entry.upstreams.recordDispatch(upstream.id);
+        policy.recordDispatch(upstream);
         span.addEvent("dispatch", { upstream: upstream.id });
       },
-      onObserve(observation) {
-        entry.upstreams.recordOutcome(observation.upstream.id, {
-          kind: observation.outcome,
-          load: observation.load,
-        });
-      },
+      onObserve: policy.recordOutcome,
       onDrop: () => countDrop(),
     });
     void done.then(() => {
       entry.state.openRequests -= 1;
+      policy.end();
       span.end();
     });
     await Promise.race([writer.ready, done]);
--- a/packages/anvilhinge/src/entry/upstreams.ts
+++ b/packages/anvilhinge/src/entry/upstreams.ts
@@ -1,20 +1,31 @@
 /**
  * The upstreams that an entry knows: groups from the settings joined with their
- * assignments, and the load of each as reported and as sent from here.
+ * assignments, indexed by what they serve. The choice itself and the health of
+ * each upstream are parts of the coordination package.
  */
 import type * as assignment from "@anvilhinge/coordination/assignment";
+import * as choice from "@anvilhinge/coordination/choice";
+import type * as clock from "@anvilhinge/coordination/clock";
+import type * as health from "@anvilhinge/coordination/health";
 import type * as random from "@anvilhinge/coordination/random";
+import type * as subset from "@anvilhinge/coordination/subset";
 import type * as engine from "../ports/engine.ts";
 import type * as session from "./session.ts";
 
+/** Where the agent of one rank listens and runs. */
+export interface RankSpec extends subset.Location {
+  /** Address of the rank's agent as `host:port`. */
+  readonly agent: string;
+}
+
 /** A group as the settings describe it. */
 export interface GroupSpec {
   readonly name: string;
   readonly kind: "model" | "service";
   /** Name of the model or service that the group serves. */
   readonly serves: string;
-  /** Address of each rank's agent, by rank. */
-  readonly ranks: readonly string[];
+  /** By rank. */
+  readonly ranks: readonly RankSpec[];
 }
 
 /** What a request needs from an upstream. */
@@ -24,19 +35,31 @@
   readonly serves: string;
 }
 
+export interface ChooseOptions {
+  /** Ids of the upstreams that the request has tried. */
+  readonly tried: ReadonlySet<string>;
+  readonly prefixKeys?: readonly number[];
+  /** Time left to the request, in milliseconds. */
+  readonly leftMs?: number;
+}
+
+/** How an attempt at an upstream ended. */
+export interface Outcome {
+  /** `abandoned`: the request ended for a reason of its own. */
+  readonly kind: health.AttemptOutcome | "abandoned";
+  readonly load?: engine.EngineLoad;
+  /** When the attempt was sent. */
+  readonly sentAtMs?: number;
+  readonly prefixKeys?: readonly number[];
+}
+
 export interface UpstreamTable {
   setGroup(spec: GroupSpec): void;
   removeGroup(name: string): void;
   setAssignment(received: assignment.Assignment): void;
-  choose(need: Need, tried: ReadonlySet<string>): session.Choice;
+  choose(need: Need, options: ChooseOptions): session.Choice;
   recordDispatch(upstreamId: string): void;
-  recordOutcome(
-    upstreamId: string,
-    outcome: {
-      readonly kind: "completed" | "refused" | "failed" | "lost";
-      readonly load?: engine.EngineLoad;
-    },
-  ): void;
+  recordOutcome(upstreamId: string, outcome: Outcome): void;
   /** Names of what the half serves now, for `GET /v1/models`. */
   listServed(half: string, kind: "model" | "service"): readonly string[];
   findAssignment(group: string): assignment.Assignment | undefined;
@@ -44,105 +67,165 @@
 }
 
 export interface UpstreamTableOptions {
+  readonly clock: clock.Clock;
   readonly random: random.RandomSource;
+  /** Id of the entry; decides its subset of the upstreams. */
+  readonly nodeId: string;
+  readonly location: subset.Location;
+  readonly health: health.Health;
 }
 
-interface Load {
-  reported: number;
-  /** Attempts sent from here that have not ended. */
-  open: number;
-}
+interface Known extends session.Upstream, subset.Location {}
 
 const noUpstreamRetryMs = 1_000;
+const minOverloadRetryMs = 500;
+const maxOverloadRetryMs = 30_000;
+/** Share of the upstreams of one need that may be ejected. */
+const maxEjectedShare = 0.5;
+
+/** Formats what a request needs as the key of its pool. */
+export function formatNeed(need: Need): string {
+  return `${need.half}/${need.kind}/${need.serves}`;
+}
+
+function listRanks(spec: GroupSpec, owner: assignment.Assignment): Known[] {
+  return spec.ranks.map((rank, index) => ({
+    id: `${spec.name}/${index}`,
+    group: spec.name,
+    rank: index,
+    address: rank.agent,
+    half: owner.half,
+    epoch: owner.epoch,
+    failureDomain: rank.failureDomain,
+    region: rank.region,
+  }));
+}
+
+function boundOverloadRetry(waitMs: number): number {
+  return Math.min(maxOverloadRetryMs, Math.max(minOverloadRetryMs, waitMs));
+}
 
 /** Creates an empty table. */
 export function createUpstreamTable(
   options: UpstreamTableOptions,
 ): UpstreamTable {
+  const { health } = options;
   const groups = new Map<string, GroupSpec>();
   const assignments = new Map<string, assignment.Assignment>();
-  const loads = new Map<string, Load>();
+  /** Pool in which a group stands, and the groups of each pool. */
+  const poolOfGroup = new Map<string, string>();
+  const groupsOfPool = new Map<string, Set<string>>();
+  /** Pools whose members changed since the chooser was told. */
+  const changedPools = new Set<string>();
+  const chooser = choice.createChooser<Known>({
+    ...options,
+    isAvailable: health.isAvailable,
+    computePenalty: health.computePenalty,
+  });
 
-  function getLoad(upstreamId: string): Load {
-    let load = loads.get(upstreamId);
-    if (load === undefined) {
-      load = { reported: 0, open: 0 };
-      loads.set(upstreamId, load);
-    }
-    return load;
-  }
-
-  function listCandidates(need: Need): session.Upstream[] {
-    const found: session.Upstream[] = [];
-    for (const spec of groups.values()) {
-      if (spec.kind !== need.kind || spec.serves !== need.serves) continue;
-      const owner = assignments.get(spec.name);
-      if (owner?.half !== need.half || owner.state !== "serving") continue;
-      for (const [rank, address] of spec.ranks.entries()) {
-        found.push({
-          id: `${spec.name}/${rank}`,
-          group: spec.name,
-          rank,
-          address,
-          half: owner.half,
-          epoch: owner.epoch,
-        });
-      }
+  function updateGroup(name: string): void {
+    const spec = groups.get(name);
+    const owner = assignments.get(name);
+    const previous = poolOfGroup.get(name);
+    if (previous !== undefined) {
+      groupsOfPool.get(previous)?.delete(name);
+      changedPools.add(previous);
+      poolOfGroup.delete(name);
     }
-    return found;
+    health.setPool(`group/${name}`, {
+      members: spec === undefined || spec.ranks.length === 1
+        ? []
+        : spec.ranks.map((_, rank) => `${name}/${rank}`),
+      maxEjectedShare: 1,
+    });
+    if (spec === undefined || owner?.state !== "serving") return;
+    const { kind, serves } = spec;
+    const pool = formatNeed({ half: owner.half, kind, serves });
+    poolOfGroup.set(name, pool);
+    const names = groupsOfPool.get(pool) ?? new Set();
+    groupsOfPool.set(pool, names.add(name));
+    changedPools.add(pool);
   }
 
-  function pick(candidates: readonly session.Upstream[]): session.Upstream {
-    const index = Math.floor(options.random() * candidates.length);
-    return candidates[index] as session.Upstream;
+  function updatePool(pool: string): void {
+    if (!changedPools.delete(pool)) return;
+    const members = [...groupsOfPool.get(pool) ?? []].sort().flatMap((name) => {
+      const spec = groups.get(name);
+      const owner = assignments.get(name);
+      if (spec === undefined || owner === undefined) return [];
+      return listRanks(spec, owner);
+    });
+    chooser.setPool(pool, members);
+    health.setPool(`need/${pool}`, {
+      members: members.map((member) => member.id),
+      maxEjectedShare,
+    });
   }
 
-  function score(upstream: session.Upstream): number {
-    const load = getLoad(upstream.id);
-    return load.reported + load.open;
+  function describeNone(
+    need: Need,
+    outcome: Exclude<choice.ChoiceOutcome<Known>, { kind: "chosen" }>,
+  ): session.Choice {
+    const wanted = `${need.kind} "${need.serves}"`;
+    switch (outcome.kind) {
+      case "unserved":
+        return {
+          kind: "none",
+          reason: `No upstream serves ${wanted} for ${need.half}`,
+          retryAfterMs: noUpstreamRetryMs,
+        };
+      case "exhausted":
+        return {
+          kind: "none",
+          reason: `All upstreams of ${wanted} were tried or are ejected`,
+          retryAfterMs: noUpstreamRetryMs,
+        };
+      case "overloaded":
+        return {
+          kind: "none",
+          reason: `All upstreams of ${wanted} are overloaded; the wait of ${
+            Math.ceil(outcome.waitMs)
+          } ms is longer than the deadline allows`,
+          retryAfterMs: boundOverloadRetry(outcome.waitMs),
+        };
+    }
   }
 
   return {
     setGroup(spec) {
       groups.set(spec.name, spec);
+      updateGroup(spec.name);
     },
     removeGroup(name) {
       groups.delete(name);
+      updateGroup(name);
     },
     setAssignment(received) {
       const known = assignments.get(received.group);
       if (known !== undefined && known.epoch >= received.epoch) return;
       assignments.set(received.group, received);
+      updateGroup(received.group);
     },
-    choose(need, tried) {
-      const candidates = listCandidates(need);
-      const fresh = candidates.filter((upstream) => !tried.has(upstream.id));
-      if (fresh.length === 0) {
-        return {
-          kind: "none",
-          reason: candidates.length === 0
-            ? `No upstream serves ${need.kind} "${need.serves}" for ${need.half}`
-            : `All upstreams of ${need.kind} "${need.serves}" were tried`,
-          retryAfterMs: noUpstreamRetryMs,
-        };
-      }
-      const first = pick(fresh);
-      const second = pick(fresh);
-      const upstream = score(second) < score(first) ? second : first;
-      return { kind: "chosen", upstream };
+    choose(need, chooseOptions) {
+      const pool = formatNeed(need);
+      updatePool(pool);
+      const outcome = chooser.choose(pool, chooseOptions);
+      return outcome.kind === "chosen"
+        ? { kind: "chosen", upstream: outcome.upstream }
+        : describeNone(need, outcome);
     },
     recordDispatch(upstreamId) {
-      getLoad(upstreamId).open += 1;
+      chooser.recordSent(upstreamId);
+      health.recordSent(upstreamId);
     },
-    recordOutcome(upstreamId, outcome) {
-      const load = getLoad(upstreamId);
-      load.open = Math.max(0, load.open - 1);
-      if (outcome.load !== undefined) {
-        load.reported = Math.max(
-          0,
-          outcome.load.running + outcome.load.queued - load.open,
-        );
-      }
+    recordOutcome(upstreamId, { kind, load, sentAtMs, prefixKeys }) {
+      chooser.recordEnded(upstreamId, {
+        sentAtMs,
+        report: load,
+        isCompleted: kind === "completed",
+        prefixKeys,
+      });
+      if (kind !== "abandoned") health.recordOutcome(upstreamId, kind);
     },
     listServed(half, kind) {
       const names = new Set<string>();
--- a/packages/anvilhinge/src/entry/view.ts
+++ b/packages/anvilhinge/src/entry/view.ts
@@ -40,7 +40,7 @@
       name,
       kind: group.kind,
       serves: group.kind === "model" ? group.model : group.service,
-      ranks: group.ranks.map((rank) => rank.agent),
+      ranks: group.ranks,
     });
   }
 
--- /dev/null
+++ b/packages/coordination/src/health_test.ts
@@ -0,0 +1,208 @@
+import fc from "fast-check";
+import * as clock from "./clock.ts";
+import * as health from "./health.ts";
+import * as progressWatch from "./progress_watch.ts";
+
+function createHealth(count: number, maxEjectedShare = 0.5) {
+  const manual = clock.createManualClock();
+  const changes: health.HealthChange[] = [];
+  const tested = health.createHealth({
+    clock: manual,
+    random: () => 0,
+    onChange: (change) => changes.push(change),
+  });
+  const members = Array.from({ length: count }, (_, index) => `u${index}`);
+  tested.setPool("need", { members, maxEjectedShare });
+  return { tested, manual, members, changes };
+}
+
+function fail(tested: health.Health, id: string, times = 3): void {
+  for (let time = 0; time < times; time += 1) tested.recordOutcome(id, "lost");
+}
+
+describe("ejection", () => {
+  test("follows failures in a row, and a success starts the count anew", () => {
+    const { tested } = createHealth(4);
+    fail(tested, "u0", 2);
+    expect(tested.computePenalty("u0")).toBe(3);
+    tested.recordOutcome("u0", "completed");
+    fail(tested, "u0", 2);
+    expect(tested.isAvailable("u0")).toBe(true);
+    fail(tested, "u0", 1);
+    expect(tested.isAvailable("u0")).toBe(false);
+  });
+
+  test("follows a high share of failures without a row of them", () => {
+    const { tested } = createHealth(4);
+    for (let round = 0; round < 12; round += 1) {
+      fail(tested, "u0", 2);
+      tested.recordOutcome("u0", "completed");
+    }
+    expect(tested.isAvailable("u0")).toBe(false);
+  });
+
+  test("refusals are no failures", () => {
+    const { tested } = createHealth(4);
+    for (let time = 0; time < 50; time += 1) {
+      tested.recordOutcome("u0", "refused");
+    }
+    expect(tested.isAvailable("u0")).toBe(true);
+  });
+
+  test("ends with one probe, and doubles when the probe fails", () => {
+    const { tested, manual, changes } = createHealth(4);
+    fail(tested, "u0");
+    manual.advance(4_999);
+    expect(tested.isAvailable("u0")).toBe(false);
+    manual.advance(1);
+    expect(tested.isAvailable("u0")).toBe(true);
+    tested.recordSent("u0");
+    expect(tested.isAvailable("u0")).toBe(false);
+    tested.recordOutcome("u0", "failed");
+    manual.advance(9_999);
+    expect(tested.isAvailable("u0")).toBe(false);
+    manual.advance(1);
+    tested.recordSent("u0");
+    tested.recordOutcome("u0", "completed");
+    expect(tested.getState("u0")).toEqual({ kind: "healthy" });
+    expect(changes.map(({ kind }) => kind))
+      .toEqual(["ejected", "ejected", "restored"]);
+  });
+
+  test("an attempt from before the ejection is no probe", () => {
+    const { tested, manual } = createHealth(4);
+    fail(tested, "u0");
+    tested.recordOutcome("u0", "completed");
+    expect(tested.isAvailable("u0")).toBe(false);
+    manual.advance(5_000);
+    tested.recordOutcome("u0", "completed");
+    expect(tested.getState("u0").kind).toBe("half_open");
+  });
+
+  test("a probe that never ends makes room for another", () => {
+    const { tested, manual } = createHealth(4);
+    fail(tested, "u0");
+    manual.advance(5_000);
+    tested.recordSent("u0");
+    manual.advance(9_999);
+    expect(tested.isAvailable("u0")).toBe(false);
+    manual.advance(1);
+    expect(tested.isAvailable("u0")).toBe(true);
+  });
+
+  test("leaves the last one of a group", () => {
+    const { tested } = createHealth(10, 1);
+    tested.setPool("group", { members: ["u0", "u1"], maxEjectedShare: 1 });
+    fail(tested, "u0");
+    fail(tested, "u1");
+    expect(tested.isAvailable("u0")).toBe(false);
+    expect(tested.isAvailable("u1")).toBe(true);
+  });
+
+  test("never passes its cap, whatever happens", () => {
+    const step = fc.tuple(
+      fc.integer({ min: 0, max: 8 }),
+      fc.constantFrom("sent", "completed", "failed", "lost", "stall", "wait"),
+    );
+    fc.assert(
+      fc.property(
+        fc.array(step, { maxLength: 300 }),
+        fc.integer({ min: 1, max: 9 }),
+        fc.double({ min: 0, max: 1, noNaN: true }),
+        (steps, count, share) => {
+          const { tested, manual, members } = createHealth(count, share);
+          for (const [index, action] of steps) {
+            const id = `u${index % count}`;
+            if (action === "wait") manual.advance(1_000);
+            else if (action === "sent") tested.recordSent(id);
+            else if (action === "stall") tested.recordStall(id);
+            else tested.recordOutcome(id, action as health.AttemptOutcome);
+            const out = members.filter((member) =>
+              tested.getState(member).kind !== "healthy"
+            ).length;
+            expect(out).toBeLessThanOrEqual(Math.floor(count * share));
+            expect(out).toBeLessThan(count);
+          }
+        },
+      ),
+      { seed: 5 },
+    );
+  });
+
+  test("forgets members that left every pool", () => {
+    const { tested } = createHealth(4);
+    fail(tested, "u0");
+    tested.setPool("need", { members: ["u1", "u2"], maxEjectedShare: 0.5 });
+    expect(tested.getState("u0")).toEqual({ kind: "healthy" });
+    expect(tested.countEjected()).toBe(0);
+  });
+});
+
+describe("a stall", () => {
+  function createWatch() {
+    const manual = clock.createManualClock();
+    return {
+      manual,
+      watch: progressWatch.createProgressWatch({ clock: manual }),
+    };
+  }
+
+  test("is found by the gap between tokens while others go on", () => {
+    const { manual, watch } = createWatch();
+    watch.start("u0", "model");
+    watch.start("u1", "model");
+    for (let token = 0; token < 20; token += 1) {
+      manual.advance(40);
+      watch.recordProgress("u0");
+      if (token < 5) watch.recordProgress("u1");
+    }
+    expect(watch.expire()).toEqual([]);
+    for (let token = 0; token < 20; token += 1) {
+      manual.advance(40);
+      watch.recordProgress("u0");
+    }
+    expect(watch.expire()).toEqual(["u1"]);
+    expect(watch.expire()).toEqual([]);
+  });
+
+  test("is not a queue: one attempt goes on while others wait", () => {
+    const { manual, watch } = createWatch();
+    for (let attempt = 0; attempt < 9; attempt += 1) watch.start("u0", "model");
+    for (let token = 0; token < 400; token += 1) {
+      manual.advance(40);
+      watch.recordProgress("u0");
+      expect(watch.expire()).toEqual([]);
+    }
+  });
+
+  test("waits for as long as gaps usually last, up to a bound", () => {
+    const { manual, watch } = createWatch();
+    expect(watch.getDeadlineMs("model")).toBe(5_000);
+    watch.start("u0", "model");
+    manual.advance(600);
+    watch.recordProgress("u0");
+    expect(watch.getDeadlineMs("model")).toBe(2_400);
+    manual.advance(2_200);
+    expect(watch.expire()).toEqual([]);
+    manual.advance(200);
+    expect(watch.expire()).toEqual(["u0"]);
+  });
+
+  test("an upstream whose attempts ended is not watched", () => {
+    const { manual, watch } = createWatch();
+    watch.start("u0", "model");
+    watch.start("u0", "model");
+    watch.end("u0");
+    expect(watch.countOpen()).toBe(1);
+    watch.end("u0");
+    manual.advance(60_000);
+    expect(watch.expire()).toEqual([]);
+    expect(watch.countOpen()).toBe(0);
+  });
+
+  test("ejects the upstream at once", () => {
+    const { tested } = createHealth(3);
+    tested.recordStall("u0");
+    expect(tested.isAvailable("u0")).toBe(false);
+  });
+});
