--- a/packages/anvilhinge/src/adapters/connect_server.ts
+++ b/packages/anvilhinge/src/adapters/connect_server.ts
@@ -1,7 +1,8 @@
 /** Serves connect-es routes over HTTP/2 without TLS. */
 import * as http2 from "node:http2";
 import type * as net from "node:net";
-import type * as connect from "@connectrpc/connect";
+import * as connect from "@connectrpc/connect";
+import * as protocol from "@connectrpc/connect/protocol";
 import * as connectNode from "@connectrpc/connect-node";
 
 export interface ConnectServerOptions {
@@ -11,6 +12,63 @@
   readonly routes: (router: connect.ConnectRouter) => void;
   /** Ends the server and its connections at once. */
   readonly signal: AbortSignal;
+  /** Called when a call failed for another reason than a peer that went away. */
+  readonly onFailure?: (call: string, message: string) => void;
+}
+
+type RequestHandler = (
+  request: http2.Http2ServerRequest,
+  response: http2.Http2ServerResponse,
+) => void;
+
+const notFoundStatus = 404;
+
+/**
+ * Creates the handler of all routes. Unlike the library's own, it reports no
+ * failure for a stream that its peer has ended, which is how calls are
+ * cancelled here.
+ */
+function createHandler(options: ConnectServerOptions): RequestHandler {
+  const router = connect.createConnectRouter({
+    shutdownSignal: options.signal,
+    acceptCompression: [],
+  });
+  options.routes(router);
+  const handlers = new Map<string, protocol.UniversalHandler>(
+    router.handlers.map((handler) => [handler.requestPath, handler]),
+  );
+
+  async function handle(
+    handler: protocol.UniversalHandler,
+    request: http2.Http2ServerRequest,
+    response: http2.Http2ServerResponse,
+  ): Promise<void> {
+    try {
+      const universal = connectNode.universalRequestFromNodeRequest(
+        request,
+        response,
+        undefined,
+        undefined,
+      );
+      const answer = await handler(universal);
+      await connectNode.universalResponseToNodeResponse(answer, response);
+    } catch (error) {
+      if (response.stream?.destroyed ?? true) return;
+      const failure = connect.ConnectError.from(error);
+      options.onFailure?.(handler.requestPath, failure.message);
+      response.stream.close(http2.constants.NGHTTP2_INTERNAL_ERROR);
+    }
+  }
+
+  return (request, response) => {
+    const handler = handlers.get(request.url);
+    if (handler !== undefined) {
+      void handle(handler, request, response);
+      return;
+    }
+    response.writeHead(notFoundStatus);
+    response.end();
+  };
 }
 
 /** Starts the server; resolves to its address as `host:port`. */
@@ -18,12 +76,7 @@
   options: ConnectServerOptions,
 ): Promise<string> {
   const sessions = new Set<http2.ServerHttp2Session>();
-  const server = http2.createServer(
-    connectNode.connectNodeAdapter({
-      routes: options.routes,
-      shutdownSignal: options.signal,
-    }),
-  );
+  const server = http2.createServer(createHandler(options));
   server.on("session", (session) => {
     sessions.add(session);
     session.on("close", () => sessions.delete(session));
--- a/packages/anvilhinge/src/agent/mod.ts
+++ b/packages/anvilhinge/src/agent/mod.ts
@@ -176,6 +176,8 @@
     },
     ...settings.address,
     signal,
+    onFailure: (call, message) =>
+      logger.warnOnce(call, `Call ${call} failed: ${message}`),
   });
   const gate = assignmentGate.createAssignmentGate({
     group: settings.group,
--- a/packages/anvilhinge/src/entry/mod.ts
+++ b/packages/anvilhinge/src/entry/mod.ts
@@ -241,6 +241,8 @@
     routes: parts.control.routes,
     ...settings.controlAddress,
     signal,
+    onFailure: (call, message) =>
+      logger.warnOnce(call, `Call ${call} failed: ${message}`),
   });
   await new Promise<void>((resolve) =>
     view.followView({
