--- a/scripts/binary_system.ts
+++ b/scripts/binary_system.ts
@@ -40,6 +40,8 @@
   readonly entries: readonly BinaryProcess[];
   readonly agents: readonly BinaryProcess[];
   readonly engine: modelEngine.ModelEngine;
+  /** Base URL of each rank's engine. */
+  readonly engineUrls: readonly string[];
   /** Kills what still runs and closes the stand-ins. */
   close(): Promise<void>;
 }
@@ -257,6 +259,7 @@
     entries,
     agents,
     engine,
+    engineUrls: engines.map((address) => address.baseUrl),
     async close() {
       for (const { process } of [...entries, ...agents]) {
         if (process.exitCode !== null || process.signalCode !== null) continue;
