--- a/packages/anvilhinge/src/entry/callers_http.ts
+++ b/packages/anvilhinge/src/entry/callers_http.ts
@@ -147,7 +147,10 @@
   function handleAddresses(koa: Koa.Context): Handled {
     const workspace = requestChecks.checkWorkspace(entry, koa);
     if (workspace.kind === "error") return workspace;
-    const answer = addresses.buildAddressAnswer(entry.listMembers(), {
+    const members = entry.listMembers().filter(({ id }) =>
+      !entry.state.isLeaving || id !== entry.settings.id
+    );
+    const answer = addresses.buildAddressAnswer(members, {
       workspace: workspace.value.id,
       random: entry.random,
       ttlMs: entry.settings.addressAnswerTtlMs,
@@ -166,7 +169,10 @@
         ? await handler(koa)
         : requestId;
       if (handled.kind === "error") {
-        answerWriter.writeCallerError(koa, handled.error);
+        answerWriter.writeCallerError(
+          koa,
+          requestChecks.limitRefusal(koa, handled.error),
+        );
       }
       countAnswer({ labels: { status: String(koa.status) } });
     };
--- a/packages/anvilhinge/src/entry/request_checks.ts
+++ b/packages/anvilhinge/src/entry/request_checks.ts
@@ -21,6 +21,7 @@
 const requestIdPattern = /^[A-Za-z0-9._-]{8,128}$/;
 const maxDeadlineMs = 600_000;
 const tooLargeStatus = 413;
+const tooManyRequestsStatus = 429;
 
 /** A request that is answered with an error. */
 export interface Refused {
@@ -194,6 +195,21 @@
   });
 }
 
+/**
+ * Qualifies the refusal of a call that may have been sent before: that this
+ * sending did not run says nothing about an earlier one.
+ */
+export function limitRefusal(
+  koa: Koa.Context,
+  error: callerError.CallerError,
+): callerError.CallerError {
+  const isNamed = koa.get(idempotencyKeyHeader) !== "";
+  if (!isNamed || error.status < tooManyRequestsStatus) return error;
+  const message =
+    `${error.message}; this sending did not run, an earlier one may have`;
+  return { ...error, message, ran: "unknown" };
+}
+
 /** Returns the caller's idempotency key; empty when there is none. */
 export function checkIdempotencyKey(koa: Koa.Context): Checked<string> {
   const value = koa.get(idempotencyKeyHeader);
--- a/packages/anvilhinge/src/entry/request_runner.ts
+++ b/packages/anvilhinge/src/entry/request_runner.ts
@@ -70,9 +70,12 @@
     });
     const span = startSpan(koa, request, need);
     const callerGone = new AbortController();
-    koa.res.once("close", () => {
-      if (!koa.res.writableFinished) callerGone.abort();
-    });
+    const closed = new Promise<void>((resolve) =>
+      koa.res.once("close", () => {
+        if (!koa.res.writableFinished) callerGone.abort();
+        resolve();
+      })
+    );
     entry.state.openRequests += 1;
     const done = runner.runSession({
       request,
@@ -108,7 +111,8 @@
       },
       onDrop: () => countDrop(),
     });
-    void done.then(() => {
+    // A planned stop waits until the last byte has left, not only its frame.
+    void Promise.all([done, closed]).then(() => {
       entry.state.openRequests -= 1;
       span.end();
     });
--- a/packages/anvilhinge/src/entry/session.ts
+++ b/packages/anvilhinge/src/entry/session.ts
@@ -50,7 +50,7 @@
   let current: attemptState.AttemptState | undefined;
   /** Claimed attempt of which a proof says that it never runs. */
   let unrunAttemptId: string | undefined;
-  /** True when no earlier sending of this request ran, or can run. */
+  /** True when no other sending of this request ran so far. */
   let isNameClear = request.isRepeatable || !request.isNamed;
   /** What is said when the claims know of no earlier sending. */
   let pendingNotRun: NotRun | undefined;
@@ -89,8 +89,12 @@
     const notRun = pendingNotRun;
     if (notRun === undefined) return [];
     pendingNotRun = undefined;
-    if (result.kind === "exists") return handleEarlier(result.claim);
-    if (result.kind !== "missing") {
+    // Another entry that sealed the attempt too would have replaced it.
+    const isOwn = result.kind === "exists" &&
+      result.claim.attemptId === unrunAttemptId &&
+      result.claim.state.kind === "claimed";
+    if (result.kind === "exists" && !isOwn) return handleEarlier(result.claim);
+    if (result.kind !== "missing" && !isOwn) {
       const message = `${notRun.reason}; an earlier sending may have run`;
       return finishUnknown(message, notRun.retryAfterMs);
     }
@@ -183,10 +187,7 @@
     state: attemptState.AttemptState,
     result: claims.ClaimResult,
   ): Effects {
-    if (result.kind === "claimed") {
-      isNameClear = true;
-      return dispatch(state);
-    }
+    if (result.kind === "claimed") return dispatch(state);
     const unclaimed = observe(state, "completed");
     switch (result.kind) {
       case "exists":
@@ -441,7 +442,6 @@
     switch (outcome) {
       case "sealed":
         unrunAttemptId = attemptId;
-        isNameClear = true;
         return [
           ...observe(state, "lost"),
           ...retryNotRun(`Upstream ${upstream.id} did not start it`, 0),
--- a/packages/anvilhinge/src/main.ts
+++ b/packages/anvilhinge/src/main.ts
@@ -5,32 +5,39 @@
 import * as program from "./cli/program.ts";
 import * as dev from "./dev/mod.ts";
 import * as entry from "./entry/mod.ts";
+import * as shutdown from "./shutdown.ts";
 
-/** Asks for a graceful shutdown at the first signal of the platform. */
-function watchShutdown(): AbortSignal {
-  const controller = new AbortController();
+/** Connects the signals of the platform to the shutdown. */
+function watchSignals(asked: shutdown.Shutdown): void {
   for (const name of ["SIGTERM", "SIGINT"] as const) {
-    process.once(name, () => controller.abort());
+    process.on(name, asked.handleSignal);
   }
-  return controller.signal;
 }
 
-const roles: program.Roles = {
-  runEntry: entry.runEntry,
-  runAgent: agent.runAgent,
-  runDev: dev.runDev,
-};
+function createRoles(asked: shutdown.Shutdown): program.Roles {
+  const { signal, setWork: onWork } = asked;
+  return {
+    runEntry: (settings) => entry.runEntry(settings, { signal, onWork }),
+    runAgent: (settings) => agent.runAgent(settings, { signal, onWork }),
+    runDev: dev.runDev,
+  };
+}
 
 async function runMain(): Promise<void> {
+  const asked = shutdown.createShutdown({
+    writeError: (text) => void process.stderr.write(text),
+    exit: (code) => process.exit(code),
+  });
+  watchSignals(asked);
   const built = program.buildProgram({
-    roles,
+    roles: createRoles(asked),
     output: {
       write: (text) => void process.stdout.write(text),
       writeError: (text) => void process.stderr.write(text),
     },
     fetch: undici.fetch,
     createChangeId: () => crypto.randomUUID(),
-    signal: watchShutdown(),
+    signal: asked.signal,
     environment: process.env,
   });
   process.exitCode = await built.run(process.argv.slice(2));
--- a/packages/anvilhinge/src/matrix/at_most_once_test.ts
+++ b/packages/anvilhinge/src/matrix/at_most_once_test.ts
@@ -72,3 +72,13 @@
   expect(record.effects).toHaveLength(1);
   expect(record.sends.at(-1)).toMatchObject({ isComplete: true });
 });
+
+test("an entry whose attempt was replaced by another does not say not run", async () => {
+  const record = await runFiling(
+    { fault: "message_lost", step: "run#1" },
+    { fault: "store_down", step: "seal#2" },
+  );
+  expect(record.effects).toHaveLength(1);
+  const finals = record.sends.map((send) => send.final?.kind);
+  expect(finals).not.toContain("not_run");
+});
