--- a/packages/anvilhinge/src/main.ts
+++ b/packages/anvilhinge/src/main.ts
@@ -23,7 +23,14 @@
   };
 }
 
+/** Ends quietly when the reader of the output, such as `head`, has gone. */
+function handleClosedOutput(error: NodeJS.ErrnoException): void {
+  if (error.code !== "EPIPE") throw error;
+  process.exit();
+}
+
 async function runMain(): Promise<void> {
+  process.stdout.on("error", handleClosedOutput);
   const asked = shutdown.createShutdown({
     writeError: (text) => void process.stderr.write(text),
     exit: (code) => process.exit(code),
