--- /dev/null
+++ b/packages/anvilhinge/src/testing/handover_world.ts
@@ -0,0 +1,413 @@
+/**
+ * Two halves' entries and the agents of one group on manual time, for tests of
+ * whole handovers: real leases, duties, moves, attempt tables and reporters;
+ * fakes only for the network, the engine and the store.
+ */
+import * as nodeCrypto from "node:crypto";
+import type * as assignment from "@anvilhinge/coordination/assignment";
+import * as random from "@anvilhinge/coordination/random";
+import * as assignmentCodec from "../adapters/assignment_codec.ts";
+import * as assignmentGate from "../agent/assignment_gate.ts";
+import * as attempts from "../agent/attempts.ts";
+import * as drainedReporter from "../agent/drained_reporter.ts";
+import * as catalog from "../entry/catalog.ts";
+import * as controlDuties from "../entry/control_duties.ts";
+import * as moves from "../entry/moves.ts";
+import * as storeFollower from "../entry/store_follower.ts";
+import * as upstreams from "../entry/upstreams.ts";
+import type * as frames from "../ports/frames.ts";
+import type * as objectStore from "../ports/object_store.ts";
+import * as objects from "../settings/objects.ts";
+import * as faults from "../stand_ins/faults.ts";
+import * as localObjectStore from "../stand_ins/local_object_store.ts";
+import * as objectApi from "../stand_ins/object_api.ts";
+import * as logger from "../telemetry/logger.ts";
+import * as manualScheduler from "./manual_scheduler.ts";
+
+export const group = "drafting-1";
+
+const rankCount = 2;
+const sendIntervalMs = 100;
+const noLoad = { running: 0, queued: 0, stepUs: 0 };
+const groupText = JSON.stringify({
+  kind: "model",
+  model: "drafting",
+  ranks: Array.from({ length: rankCount }, (_, rank) => ({
+    agent: `127.0.0.1:${7000 + rank}`,
+    failureDomain: "milan-1",
+    region: "milan",
+  })),
+  expertSlotsPerRank: 8,
+  layers: 2,
+  experts: 16,
+});
+
+/** Returns the bearer token of a half's operator. */
+export function formatToken(half: string): string {
+  return `Bearer token-of-${half}`;
+}
+
+function hashToken(half: string): string {
+  const token = formatToken(half).replace("Bearer ", "");
+  return nodeCrypto.createHash("sha256").update(token).digest("hex");
+}
+
+/** What was seen of the attempts that entries sent. */
+export interface Tally {
+  started: number;
+  ended: number;
+  /** Attempts that started and did not complete. */
+  cut: number;
+  /** Refusals by reason; each attempt may go elsewhere. */
+  readonly refused: Record<string, number>;
+  /** Admissions by half and epoch. */
+  readonly admitted: Record<string, number>;
+  readonly violations: string[];
+}
+
+/** Creates the world; `faultsOfWrites` befall the next write of a state. */
+export async function createHandoverWorld(seed = 1) {
+  const scheduler = manualScheduler.createManualScheduler();
+  const source = random.createRandomSource(seed);
+  const api = objectApi.createObjectApi();
+  const storeFaults = faults.createFaultSwitch();
+  const local = localObjectStore.createLocalObjectStore(api, {
+    faults: storeFaults,
+    scheduler,
+  });
+  const faultsOfWrites = new Map<string, faults.Fault>();
+  const history: assignment.Assignment[] = [];
+  const tally: Tally = {
+    started: 0,
+    ended: 0,
+    cut: 0,
+    refused: {},
+    admitted: {},
+    violations: [],
+  };
+  const abort = new AbortController();
+  let nextId = 0;
+  const createId = () => `id-${String(nextId++).padStart(8, "0")}`;
+
+  /** Brings the planned fault about at the write of the named state. */
+  const store: objectStore.ObjectStore = {
+    ...local,
+    write(key, value, condition) {
+      const record = assignmentCodec.parseAssignment(value);
+      const name = record === undefined ? "" : `${record.state} ${record.half}`;
+      const fault = faultsOfWrites.get(name);
+      faultsOfWrites.delete(name);
+      const present = storeFaults.get();
+      if (fault === undefined) return local.write(key, value, condition);
+      storeFaults.set(fault, { callCount: 1 });
+      const outcome = local.write(key, value, condition);
+      storeFaults.set(present);
+      return outcome;
+    },
+  };
+  api.watch(assignmentCodec.assignmentPrefix, {
+    sinceVersion: 0,
+    signal: abort.signal,
+    onEvent(event) {
+      if (event.kind !== "changed") return;
+      const record = assignmentCodec.parseAssignment(event.object.value);
+      if (record !== undefined) history.push(record);
+    },
+  });
+  // The operators of a half may change its team's subtree only.
+  const subtrees = {
+    association: "/association/drafting",
+    water_board: "/water_board/drawings",
+  } as const;
+  type Half = keyof typeof subtrees;
+  const entries = (["association", "water_board"] as const).flatMap((half) =>
+    [1, 2].map((number) => createEntry(half, `${half}-entry-${number}`))
+  );
+
+  function createEntry(half: Half, id: string) {
+    const killed = new AbortController();
+    const signal = AbortSignal.any([abort.signal, killed.signal]);
+    const followers = new Set<(received: assignment.Assignment) => void>();
+    const known = catalog.createCatalog();
+    const path = `/association/drafting/groups/${group}`;
+    const checked = objects.checkObject(path, groupText);
+    if (checked.kind === "invalid") throw new Error("Bad group in the test");
+    known.setObject(checked.settings);
+    const table = upstreams.createUpstreamTable({ random: source });
+    const state = {
+      isReady: true,
+      isLeaving: false,
+      isClosed: false,
+      openRequests: 0,
+    };
+    let isStale = false;
+    const context = {
+      settings: {
+        id,
+        half,
+        address: { host: "127.0.0.1", port: 0 },
+        controlAddress: { host: "127.0.0.1", port: 0 },
+        failureDomain: "local",
+        region: "local",
+        platform: { objectStore: "http://x", instanceList: "http://x" },
+        addressAnswerTtlMs: 1_000,
+        requestBodyLimitBytes: 1,
+        tracing: { exporter: "none" as const },
+        log: { level: "error" as const },
+        operators: [{
+          name: `${half}-operator`,
+          tokenSha256: hashToken(half),
+          subtrees: [subtrees[half]],
+        }],
+      },
+      store,
+      scheduler,
+      random: source,
+      createId,
+      catalog: known,
+      upstreams: table,
+      logger: logger.createLogger({ part: "entry", level: "error" }),
+      state,
+      listMembers: () =>
+        entries.filter((one) => one.half === half && !one.isDead()).map((
+          one,
+        ) => ({
+          id: one.id,
+          address: one.id,
+          failureDomain: "local",
+          state: "live" as const,
+        })),
+    };
+    const duties = controlDuties.createControlDuties(context, {
+      signal,
+      client: {
+        forwardReport: (address, report) =>
+          findEntry(address)?.duties.report({ ...report, forwarded: true }) ??
+            Promise.resolve(false),
+        getMove: (address, name) =>
+          Promise.resolve(findEntry(address)?.duties.getOwnProgress(name)),
+      },
+    });
+    storeFollower.followPrefix({
+      store,
+      scheduler,
+      random: source,
+      prefix: assignmentCodec.assignmentPrefix,
+      signal,
+      onObject(object) {
+        const received = assignmentCodec.parseAssignment(object.value);
+        if (received === undefined || isStale) return;
+        table.setAssignment(received);
+        for (const notify of followers) notify(received);
+      },
+    });
+    duties.start(id);
+    return {
+      id,
+      half,
+      table,
+      duties,
+      followers,
+      moves: moves.createMoves({ ...context, duties }),
+      isDead: () => killed.signal.aborted,
+      kill: () => killed.abort(),
+      /** Keeps the view of this entry as it is. */
+      setStale(value: boolean) {
+        isStale = value;
+      },
+    };
+  }
+
+  function findEntry(id: string) {
+    return entries.find((one) => one.id === id && !one.isDead());
+  }
+
+  function createAgent(rank: number) {
+    let alive = new AbortController();
+    let table = startTable();
+    let isReachable = true;
+
+    function startTable(heard = entries): attempts.Attempts {
+      const incarnation = createId();
+      const { signal } = alive;
+      const started = attempts.createAttempts({
+        clock: scheduler,
+        group,
+        rank,
+        incarnation,
+        readLoad: () => noLoad,
+      });
+      const gate = assignmentGate.createAssignmentGate({
+        group,
+        store,
+        onAssignment: started.setAssignment,
+      });
+      for (const entry of heard) {
+        const receive = (received: assignment.Assignment) => {
+          if (isReachable && !signal.aborted) gate.receive(received);
+        };
+        entry.followers.add(receive);
+        const present = entry.table.findAssignment(group);
+        if (present !== undefined) receive(present);
+      }
+      drainedReporter.startReporter({
+        group,
+        rank,
+        incarnation,
+        attempts: started,
+        listEntries: () => entries.map((entry) => entry.id),
+        send: (id, report) =>
+          isReachable
+            ? findEntry(id)?.duties.report({ ...report, forwarded: false }) ??
+              Promise.resolve(false)
+            : Promise.resolve(false),
+        scheduler,
+        random: source,
+        signal: AbortSignal.any([abort.signal, signal]),
+      });
+      return started;
+    }
+
+    return {
+      rank,
+      getTable: () => table,
+      setReachable(value: boolean) {
+        isReachable = value;
+        if (!value) return;
+        for (const entry of entries) {
+          const present = entry.table.findAssignment(group);
+          if (present !== undefined) table.setAssignment(present);
+        }
+      },
+      /** Ends the agent and what it runs; the next hears of `heard` only. */
+      restart(heard = entries) {
+        alive.abort();
+        const lost = table.countRunning();
+        tally.cut -= lost;
+        tally.ended += lost;
+        alive = new AbortController();
+        table = startTable(heard);
+      },
+    };
+  }
+
+  const agents = Array.from(
+    { length: rankCount },
+    (_, rank) => createAgent(rank),
+  );
+  const runningHalves = new Map<string, string>();
+
+  function admit(attempt: frames.Attempt): void {
+    const key = `${attempt.half} ${attempt.epoch}`;
+    tally.started += 1;
+    tally.admitted[key] = (tally.admitted[key] ?? 0) + 1;
+    const wasServing = history.some((record) =>
+      record.half === attempt.half && record.epoch === attempt.epoch &&
+      record.state === "serving"
+    );
+    if (!wasServing) tally.violations.push(`${key} was never in force`);
+    runningHalves.set(attempt.attemptId, attempt.half);
+    if (new Set(runningHalves.values()).size > 1) {
+      tally.violations.push("Work of two halves runs at once");
+    }
+  }
+
+  /** Sends one attempt as an entry's view has it, without choosing well. */
+  function sendAttempt(
+    entry: typeof entries[number],
+    agent: ReturnType<typeof createAgent>,
+  ): void {
+    const view = entry.table.findAssignment(group);
+    if (view === undefined) return;
+    const table = agent.getTable();
+    const attempt: frames.Attempt = {
+      requestId: createId(),
+      attemptId: createId(),
+      workspace: "drafting/milan",
+      half: entry.half,
+      epoch: view.epoch,
+      group,
+      rank: agent.rank,
+      priority: 1,
+      deadlineMs: 10_000,
+      incarnation: "",
+      work: { kind: "model", model: "drafting", body: new Uint8Array() },
+    };
+    const before = table.getAssignment();
+    const outcome = table.offer(attempt, (frame) => {
+      if (frame.body.kind === "end") tally.ended += 1;
+      if (frame.body.kind === "failed") tally.cut += 1;
+      if (frame.body.kind === "refused") {
+        const { reason } = frame.body;
+        tally.refused[reason] = (tally.refused[reason] ?? 0) + 1;
+      }
+    });
+    if (outcome.kind !== "start") return;
+    if (before?.state === "leaving") {
+      tally.violations.push("Work was admitted while leaving");
+    }
+    admit(attempt);
+    scheduler.schedule(() => {
+      runningHalves.delete(attempt.attemptId);
+      table.receiveEvent(attempt.attemptId, { kind: "end" });
+    }, { delayMs: 200 + 800 * source() });
+  }
+
+  function sendLoad(): void {
+    for (const entry of entries) {
+      if (entry.isDead()) continue;
+      for (const agent of agents) sendAttempt(entry, agent);
+    }
+    scheduler.schedule(sendLoad, {
+      delayMs: sendIntervalMs,
+      signal: abort.signal,
+    });
+  }
+
+  function getRecord(): assignment.Assignment | undefined {
+    return history.at(-1);
+  }
+
+  /** Advances until the condition holds, at most `limitMs`. */
+  async function advanceUntil(
+    condition: () => boolean,
+    limitMs: number,
+  ): Promise<boolean> {
+    for (let passedMs = 0; passedMs < limitMs; passedMs += 50) {
+      if (condition()) return true;
+      await scheduler.advanceAsync(50);
+    }
+    return condition();
+  }
+
+  sendLoad();
+  await advanceUntil(() => getRecord() !== undefined, 20_000);
+  await scheduler.advanceAsync(1_000);
+  const listOf = (half: Half) => entries.filter((one) => one.half === half);
+  return {
+    scheduler,
+    storeFaults,
+    faultsOfWrites,
+    tally,
+    agents,
+    entries,
+    listOf,
+    history,
+    getRecord,
+    advanceUntil,
+    getHolder: (half: Half) =>
+      listOf(half).find((one) => !one.isDead() && one.duties.isHolder(group)),
+    /** Asks an entry for a move with the token of a half's operator. */
+    move(to: string, { by = "association", at = 0 }: {
+      readonly by?: Half;
+      readonly at?: number;
+    } = {}) {
+      const options = { authorization: formatToken(by), changeId: createId() };
+      const entry = listOf(by)[at] as typeof entries[number];
+      return entry.moves.start({ group, to }, options);
+    },
+    stop: () => abort.abort(),
+  };
+}
+
+export type HandoverWorld = Awaited<ReturnType<typeof createHandoverWorld>>;
