--- a/packages/anvilhinge/src/adapters/instance_list_http.ts
+++ b/packages/anvilhinge/src/adapters/instance_list_http.ts
@@ -19,6 +19,7 @@
     role: zod.enum(["entry", "agent"]),
     half: zod.string(),
     address: zod.string(),
+    controlAddress: zod.string().optional(),
     failureDomain: zod.string(),
     state: zod.enum(["live", "leaving"]),
   })),
--- a/packages/anvilhinge/src/dev/system.ts
+++ b/packages/anvilhinge/src/dev/system.ts
@@ -53,6 +53,7 @@
 export interface SystemEntry extends entry.RunningEntry {
   readonly id: string;
   readonly half: names.Half;
+  readonly failureDomain: string;
 }
 
 export interface RunningSystem {
@@ -102,12 +103,13 @@
     });
   });
   return Promise.all(plans.map(async ({ half, id, domain }) => {
+    const failureDomain = domain?.failureDomain ?? "local";
     const running = await entry.startEntry({
       id,
       half,
       address: { host: "127.0.0.1", port: 0 },
       controlAddress: { host: "127.0.0.1", port: 0 },
-      failureDomain: domain?.failureDomain ?? "local",
+      failureDomain,
       region: domain?.region ?? "local",
       platform: localPlatform,
       addressAnswerTtlMs: options.addressAnswerTtlMs ?? defaultTtlMs,
@@ -116,7 +118,7 @@
       log: { level: options.logLevel ?? "warn" },
       operators: options.operators ?? [],
     }, adapters);
-    return { ...running, id, half };
+    return { ...running, id, half, failureDomain };
   }));
 }
 
@@ -176,7 +178,8 @@
           role: "entry",
           half: running.half,
           address: running.address,
-          failureDomain: "local",
+          controlAddress: running.controlAddress,
+          failureDomain: running.failureDomain,
           state: "live",
         })),
       }),
--- a/packages/anvilhinge/src/entry/callers_http.ts
+++ b/packages/anvilhinge/src/entry/callers_http.ts
@@ -1,4 +1,5 @@
 /** Callers' HTTP: chat completions, models, services and address answers. */
+import * as net from "node:net";
 import Router from "@koa/router";
 import type Koa from "koa";
 import type * as objects from "../settings/objects.ts";
@@ -113,6 +114,8 @@
     if (workspace.kind === "error") return workspace;
     const answer = addresses.buildAddressAnswer(entry.listMembers(), {
       workspace: workspace.value.id,
+      ownAddress: describeOwnAddress(koa),
+      nearDomain: readNearDomain(koa) ?? entry.settings.failureDomain,
       random: entry.random,
       ttlMs: entry.settings.addressAnswerTtlMs,
     });
@@ -185,3 +188,15 @@
   const methods: readonly string[] = service.repeatableMethods;
   return methods.includes(call.method) && !isExcluded;
 }
+
+/** Address that the caller has reached this entry at. */
+function describeOwnAddress(koa: Koa.Context): string {
+  const { localAddress = "", localPort = 0 } = koa.req.socket;
+  const host = net.isIPv6(localAddress) ? `[${localAddress}]` : localAddress;
+  return `${host}:${localPort}`;
+}
+
+function readNearDomain(koa: Koa.Context): string | undefined {
+  const domain = koa.query.failure_domain;
+  return typeof domain === "string" ? domain : undefined;
+}
--- a/packages/anvilhinge/src/entry/mod.ts
+++ b/packages/anvilhinge/src/entry/mod.ts
@@ -1,5 +1,7 @@
 /** The entry role: composes its parts and runs its life cycle. */
 import * as nodeCrypto from "node:crypto";
+import { performance } from "node:perf_hooks";
+import * as gossip from "@anvilhinge/coordination/gossip";
 import * as random from "@anvilhinge/coordination/random";
 import * as awilix from "awilix";
 import Koa from "koa";
@@ -10,17 +12,19 @@
 import * as systemScheduler from "../adapters/system_scheduler.ts";
 import type * as instanceList from "../ports/instance_list.ts";
 import type * as objectStore from "../ports/object_store.ts";
-import type * as scheduler from "../ports/scheduler.ts";
 import type * as process from "../settings/process.ts";
 import * as logger from "../telemetry/logger.ts";
 import * as metrics from "../telemetry/metrics.ts";
 import * as tracing from "../telemetry/tracing.ts";
-import * as addresses from "./addresses.ts";
 import * as agentClient from "./agent_client.ts";
 import * as callersHttp from "./callers_http.ts";
 import * as catalog from "./catalog.ts";
 import type * as context from "./context.ts";
 import * as controlService from "./control_service.ts";
+import * as gossipClient from "./gossip_client.ts";
+import * as gossipNode from "./gossip_node.ts";
+import * as gossipService from "./gossip_service.ts";
+import * as loadWeight from "./load_weight.ts";
 import * as operatorsHttp from "./operators_http.ts";
 import * as upstreams from "./upstreams.ts";
 import * as view from "./view.ts";
@@ -43,13 +47,20 @@
   kill(): void;
 }
 
+/** Members as the gossip node sees them; empty until it is started. */
+interface MembersView {
+  list: context.EntryContext["listMembers"];
+}
+
 interface Parts extends context.EntryContext {
   readonly abort: AbortController;
   readonly instances: instanceList.InstanceList;
   readonly control: controlService.ControlService;
+  readonly peers: gossipClient.GossipClient;
+  readonly membersView: MembersView;
 }
 
-const membersIntervalMs = 500;
+const weightIntervalMs = 5_000;
 const drainPollMs = 50;
 const platformTimeoutMs = 2_000;
 
@@ -62,7 +73,6 @@
     injectionMode: awilix.InjectionMode.PROXY,
     strict: true,
   });
-  let members: readonly addresses.EntryMember[] = [];
   container.register({
     settings: awilix.asValue(settings),
     abort: awilix.asFunction(() => new AbortController()).singleton(),
@@ -117,52 +127,21 @@
       isClosed: false,
       openRequests: 0,
     }),
-    listMembers: awilix.asFunction(({ instances, scheduler, abort }: Parts) => {
-      pollMembers({
-        instances,
-        scheduler,
+    membersView: awilix.asValue<MembersView>({ list: () => [] }),
+    listMembers: awilix.asFunction(({ membersView }: Parts) => () =>
+      membersView.list()
+    ).singleton(),
+    peers: awilix.asFunction(({ abort }: Parts) =>
+      gossipClient.createGossipClient({
         half: settings.half,
+        timeoutMs: gossip.replyTimeoutMs,
         signal: abort.signal,
-        onMembers: (found) => {
-          members = found;
-        },
-      });
-      return () => members;
-    }).singleton(),
+      })
+    ).singleton(),
   });
   return container.cradle;
 }
 
-interface PollOptions {
-  readonly instances: instanceList.InstanceList;
-  readonly scheduler: scheduler.Scheduler;
-  readonly half: string;
-  readonly signal: AbortSignal;
-  readonly onMembers: (members: readonly addresses.EntryMember[]) => void;
-}
-
-/** Reads the instance list at intervals; keeps the last view during an outage. */
-function pollMembers(options: PollOptions): void {
-  const { instances, half, signal } = options;
-
-  async function poll(): Promise<void> {
-    const outcome = await instances.list();
-    if (signal.aborted) return;
-    if (outcome.kind === "listed") {
-      const entries = outcome.instances.filter((instance) =>
-        instance.role === "entry" && instance.half === half
-      );
-      options.onMembers(entries);
-    }
-    options.scheduler.schedule(() => void poll(), {
-      delayMs: membersIntervalMs,
-      signal,
-    });
-  }
-
-  void poll();
-}
-
 function createApp(parts: Parts): Koa {
   const app = new Koa();
   app.on(
@@ -184,36 +163,98 @@
   return app;
 }
 
+/** Starts the exchange with the other entries. */
+function startNode(
+  parts: Parts,
+  options: {
+    readonly address: string;
+    readonly controlAddress: string;
+    readonly onReady: () => void;
+  },
+): gossipNode.GossipNode {
+  const { settings } = parts;
+  const entryView = view.createView({
+    entry: parts,
+    onAssignment: parts.control.publish,
+  });
+  return gossipNode.startGossipNode({
+    ...parts,
+    self: {
+      id: settings.id,
+      address: options.address,
+      controlAddress: options.controlAddress,
+      failureDomain: settings.failureDomain,
+      // Raised when the view is confirmed.
+      weight: 0,
+    },
+    half: settings.half,
+    incarnation: Date.now(),
+    client: parts.peers,
+    signal: parts.abort.signal,
+    onApply: entryView.apply,
+    onReady: options.onReady,
+  });
+}
+
+/** Tells the others which share of workspaces this entry should get. */
+function reportWeight(
+  node: gossipNode.GossipNode,
+  { scheduler, abort }: Parts,
+): void {
+  let weight = loadWeight.fullWeight;
+  let last = performance.eventLoopUtilization();
+  node.setWeight(weight);
+
+  function update(): void {
+    const present = performance.eventLoopUtilization();
+    const { utilization } = performance.eventLoopUtilization(present, last);
+    last = present;
+    const next = loadWeight.computeWeight(weight, utilization);
+    if (next !== weight) node.setWeight(next);
+    weight = next;
+    scheduleUpdate();
+  }
+
+  function scheduleUpdate(): void {
+    const { signal } = abort;
+    scheduler.schedule(update, { delayMs: weightIntervalMs, signal });
+  }
+
+  scheduleUpdate();
+}
+
 /** Starts an entry; resolves when it listens and has confirmed its view. */
 export async function startEntry(
   settings: process.EntrySettings,
   adapters: EntryAdapters = {},
 ): Promise<RunningEntry> {
   const parts = composeParts(settings, adapters);
-  const { abort, state, logger, scheduler, listMembers } = parts;
-  listMembers();
+  const { abort, state, logger, scheduler } = parts;
   const { signal } = abort;
   const address = await httpServer.startHttpServer({
     app: createApp(parts),
     ...settings.address,
     signal,
   });
+  let node: gossipNode.GossipNode | undefined;
+  const gossipRoutes = gossipService.createGossipRoutes({
+    half: settings.half,
+    handleRequest: (request) => node?.handleRequest(request),
+  });
   const controlAddress = await connectServer.startConnectServer({
-    routes: parts.control.routes,
+    routes(router) {
+      parts.control.routes(router);
+      gossipRoutes(router);
+    },
     ...settings.controlAddress,
     signal,
   });
-  await new Promise<void>((resolve) =>
-    view.followView({
-      entry: parts,
-      signal,
-      onAssignment: parts.control.publish,
-      onReady: () => {
-        state.isReady = true;
-        resolve();
-      },
-    })
-  );
+  await new Promise<void>((resolve) => {
+    node = startNode(parts, { address, controlAddress, onReady: resolve });
+    parts.membersView.list = node.listMembers;
+  });
+  state.isReady = true;
+  if (node !== undefined) reportWeight(node, parts);
   logger.info(`Serves callers on ${address} and agents on ${controlAddress}`);
 
   function wait(delayMs: number): Promise<void> {
@@ -225,6 +266,7 @@
     controlAddress,
     async stop() {
       state.isLeaving = true;
+      node?.publishLeaving();
       logger.info("Stops being handed out");
       await wait(settings.addressAnswerTtlMs);
       state.isClosed = true;
--- a/packages/anvilhinge/src/entry/view.ts
+++ b/packages/anvilhinge/src/entry/view.ts
@@ -1,33 +1,42 @@
 /**
- * Keeps the entry's catalog and upstream table in step with the object API:
- * settings and assignments, each version applied once and never an older one.
+ * Brings replicated objects into force: settings into the entry's catalog,
+ * assignments into its table of upstreams.
  */
 import type * as assignment from "@anvilhinge/coordination/assignment";
+import type * as settingsReplica from "@anvilhinge/coordination/settings_replica";
 import * as assignmentCodec from "../adapters/assignment_codec.ts";
-import type * as objectStore from "../ports/object_store.ts";
 import * as objects from "../settings/objects.ts";
 import * as record from "../settings/record.ts";
 import type * as context from "./context.ts";
-import * as storeFollower from "./store_follower.ts";
 
 export interface ViewOptions {
-  readonly entry: context.EntryContext;
-  readonly signal: AbortSignal;
+  readonly entry: Pick<
+    context.EntryContext,
+    "catalog" | "upstreams" | "logger"
+  >;
   readonly onAssignment: (received: assignment.Assignment) => void;
-  /** Called once, when the first complete lists have been applied. */
-  readonly onReady: () => void;
 }
 
-/** Follows settings and assignments until the signal aborts. */
-export function followView(options: ViewOptions): void {
-  const { entry, signal } = options;
-  const waiting = new Set(["settings", "assignments"]);
+/** Applies objects in their order; versions of a key must rise. */
+export interface View {
+  apply(changed: readonly settingsReplica.ReplicatedObject[]): void;
+}
+
+type PresentObject = Extract<
+  settingsReplica.ReplicatedObject,
+  { readonly kind: "present" }
+>;
 
-  function markListed(part: string): void {
-    if (!waiting.delete(part) || waiting.size > 0) return;
-    options.onReady();
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
   }
+}
 
+/** Creates the view of one entry. */
+export function createView({ entry, onAssignment }: ViewOptions): View {
   function updateGroup(name: string): void {
     const home = entry.catalog.findGroupHome(name);
     const owner = entry.upstreams.findAssignment(name)?.half ?? home;
@@ -44,14 +53,8 @@
     });
   }
 
-  function applySettings(object: objectStore.StoredObject): void {
-    const path = record.parseKey(object.key);
-    const stored = record.parseRecord(object.value);
-    if (path === undefined || stored === undefined) {
-      entry.logger.warnOnce(object.key, `Ignored ${object.key}: not a record`);
-      return;
-    }
-    const checked = objects.checkObject(path, stored.text);
+  function applySettings(path: string, text: string): void {
+    const checked = objects.checkObject(path, text);
     if (checked.kind === "invalid") {
       const [problem] = checked.problems;
       entry.logger.warn(`Ignored ${path}: ${problem?.message}`);
@@ -64,46 +67,35 @@
 
   function removeSettings(key: string): void {
     const path = record.parseKey(key);
-    if (path === undefined) return;
-    const parsed = objects.parseSettingsPath(path);
-    if (parsed.kind === "refused") return;
+    const parsed = path && objects.parseSettingsPath(path);
+    if (!parsed || parsed.kind === "refused") return;
     entry.catalog.removeObject(parsed.path);
     if (parsed.path.kind === "groups") updateGroup(parsed.path.name);
   }
 
-  function applyAssignment(object: objectStore.StoredObject): void {
-    const received = assignmentCodec.parseAssignment(object.value);
+  function applyAssignment({ key, value }: PresentObject): void {
+    const received = assignmentCodec.parseAssignment(parseJson(value));
     if (received === undefined) {
-      entry.logger.warnOnce(
-        object.key,
-        `Ignored ${object.key}: not an assignment`,
-      );
+      entry.logger.warnOnce(key, `Ignored ${key}: not an assignment`);
       return;
     }
     entry.upstreams.setAssignment(received);
     updateGroup(received.group);
-    options.onAssignment(received);
+    onAssignment(received);
+  }
+
+  function applyObject(object: settingsReplica.ReplicatedObject): void {
+    if (object.kind === "removed") return removeSettings(object.key);
+    if (object.key.startsWith(assignmentCodec.assignmentPrefix)) {
+      return applyAssignment(object);
+    }
+    const path = record.parseKey(object.key);
+    if (path !== undefined) applySettings(path, object.value);
   }
 
-  const common = {
-    store: entry.store,
-    scheduler: entry.scheduler,
-    random: entry.random,
-    signal,
-    onUnavailable: (message: string) =>
-      entry.logger.warnOnce("store", `The object API is away: ${message}`),
+  return {
+    apply(changed) {
+      for (const object of changed) applyObject(object);
+    },
   };
-  storeFollower.followPrefix({
-    ...common,
-    prefix: `${record.settingsPrefix}/`,
-    onObject: applySettings,
-    onRemoved: removeSettings,
-    onListed: () => markListed("settings"),
-  });
-  storeFollower.followPrefix({
-    ...common,
-    prefix: assignmentCodec.assignmentPrefix,
-    onObject: applyAssignment,
-    onListed: () => markListed("assignments"),
-  });
 }
--- a/packages/anvilhinge/src/ports/instance_list.ts
+++ b/packages/anvilhinge/src/ports/instance_list.ts
@@ -9,6 +9,8 @@
   readonly half: string;
   /** Address as `host:port`. */
   readonly address: string;
+  /** Address for other entries, as `host:port`; entries only. */
+  readonly controlAddress?: string;
   readonly failureDomain: string;
   readonly state: "live" | "leaving";
 }
--- a/packages/anvilhinge/src/stand_ins/instance_list_http.ts
+++ b/packages/anvilhinge/src/stand_ins/instance_list_http.ts
@@ -13,6 +13,7 @@
   role: zod.enum(["entry", "agent"]),
   half: zod.string(),
   address: zod.string(),
+  controlAddress: zod.string().optional(),
   failureDomain: zod.string(),
   state: zod.enum(["live", "leaving"]),
 });
