--- a/packages/anvilhinge/src/entry/callers_http.ts
+++ b/packages/anvilhinge/src/entry/callers_http.ts
@@ -4,7 +4,10 @@
 import type * as objects from "../settings/objects.ts";
 import * as addresses from "./addresses.ts";
 import * as answerWriter from "./answer_writer.ts";
+import * as callIdentity from "./call_identity.ts";
 import type * as context from "./context.ts";
+import * as inquiry from "./inquiry.ts";
+import * as outcomeAnswer from "./outcome_answer.ts";
 import * as requestChecks from "./request_checks.ts";
 import * as requestRunner from "./request_runner.ts";
 
@@ -22,6 +25,7 @@
     help: "Answers to callers by status code",
     labelNames: ["status"],
   });
+  const askOutcome = inquiry.createInquiry(entry);
   const runRequest = requestRunner.createRequestRunner(entry);
 
   async function handleChat(koa: Koa.Context): Promise<Handled> {
@@ -47,11 +51,14 @@
       settings?.timeoutMs ?? defaultModelTimeoutMs,
     );
     if (deadline.kind === "error") return deadline;
+    if (point.value !== undefined) setRequestId(koa, point.value.requestId);
     await runRequest(koa, {
-      requestId: point.value?.requestId ?? String(koa.state.requestId),
+      requestId: String(koa.state.requestId),
       workspace: workspace.value.id,
       work: { kind: "model", model, body: body.value },
       isRepeatable: true,
+      isNamed: false,
+      digest: "",
       priority: workspace.value.settings.priority,
       deadlineAtMs: entry.scheduler.now() + deadline.value,
       delivery: stream ? "streamed" : "whole",
@@ -77,6 +84,16 @@
     const body = await requestChecks.readBody(entry, koa);
     if (body.kind === "error") return body;
     const path = `/${koa.params.path ?? ""}${koa.search}`;
+    const call = { method: koa.method, path };
+    const repeatable = isRepeatable(service, call);
+    const key = requestChecks.checkIdempotencyKey(koa);
+    if (key.kind === "error") return key;
+    if (!repeatable && key.value !== "") {
+      setRequestId(
+        koa,
+        callIdentity.computeRequestId(workspace.value.id, key.value),
+      );
+    }
     await runRequest(koa, {
       requestId: String(koa.state.requestId),
       workspace: workspace.value.id,
@@ -88,7 +105,14 @@
         headers: selectServiceHeaders(koa),
         body: body.value,
       },
-      isRepeatable: isRepeatable(service, { method: koa.method, path }),
+      isRepeatable: repeatable,
+      isNamed: key.value !== "" ||
+        koa.get(requestChecks.requestIdHeader) !== "",
+      digest: repeatable ? "" : callIdentity.computeDigest({
+        ...call,
+        service: name,
+        body: body.value,
+      }),
       priority: workspace.value.settings.priority,
       deadlineAtMs: entry.scheduler.now() + deadline.value,
       delivery: "whole",
@@ -108,6 +132,18 @@
     return { kind: "ok" };
   }
 
+  async function handleOutcome(koa: Koa.Context): Promise<Handled> {
+    const workspace = requestChecks.checkWorkspace(entry, koa);
+    if (workspace.kind === "error") return workspace;
+    const requestId = String(koa.params.requestId);
+    setRequestId(koa, requestId);
+    const answer = await askOutcome({
+      workspace: workspace.value.id,
+      requestId,
+    });
+    return outcomeAnswer.writeOutcome(koa, answer);
+  }
+
   function handleAddresses(koa: Koa.Context): Handled {
     const workspace = requestChecks.checkWorkspace(entry, koa);
     if (workspace.kind === "error") return workspace;
@@ -125,8 +161,7 @@
   ): (koa: Koa.Context) => Promise<void> {
     return async (koa) => {
       const requestId = requestChecks.checkRequestId(koa, entry.createId);
-      koa.state.requestId = requestId.kind === "valid" ? requestId.value : "";
-      koa.set(requestChecks.requestIdHeader, koa.state.requestId);
+      setRequestId(koa, requestId.kind === "valid" ? requestId.value : "");
       const handled = requestId.kind === "valid"
         ? await handler(koa)
         : requestId;
@@ -158,12 +193,19 @@
   }
 
   router.post("/v1/chat/completions", takeWork(handleChat));
+  router.get("/v1/requests/:requestId", handle(handleOutcome));
   router.get("/v1/models", handle(handleModels));
   router.get("/v1/addresses", handle(handleAddresses));
   router.all("/services/:service{/*path}", takeWork(handleService));
   return router;
 }
 
+/** Names the request in all that is written and sent for it. */
+function setRequestId(koa: Koa.Context, requestId: string): void {
+  koa.state.requestId = requestId;
+  koa.set(requestChecks.requestIdHeader, requestId);
+}
+
 /** Headers of a service call that are passed on to the service. */
 function selectServiceHeaders(
   koa: Koa.Context,
--- a/packages/anvilhinge/src/entry/request_runner.ts
+++ b/packages/anvilhinge/src/entry/request_runner.ts
@@ -101,6 +101,7 @@
       request,
       session: session.createSession(request, {
         clock: entry.scheduler,
+        readWallMs: entry.readWallMs,
         createAttemptId: entry.createId,
         chooseUpstream: policy.chooseUpstream,
         takeRetry: () => takeRetry(policy),
@@ -111,6 +112,8 @@
         },
       }),
       client: policy.watchFrames(entry.client),
+      clocks: entry.clocks,
+      claims: entry.claims,
       scheduler: entry.scheduler,
       sink: writer,
       callerSignal: callerGone.signal,
