--- a/packages/anvilhinge/src/agent/attempts.ts
+++ b/packages/anvilhinge/src/agent/attempts.ts
@@ -40,6 +40,8 @@
    * @default 256
    */
   readonly maxRunning?: number;
+  /** True for an attempt that could not finish in time. Default: never. */
+  readonly isOverloaded?: (attempt: frames.Attempt) => boolean;
   /**
    * Advice with a refusal for overload, in milliseconds.
    * @default 500
@@ -143,7 +145,9 @@
     if (isStopping) return "stopping";
     const admission = assignment.checkAdmission(known, attempt);
     if (admission.kind !== "admitted") return admission.kind;
-    return runningCount >= maxRunning ? "overloaded" : undefined;
+    const isOverloaded = runningCount >= maxRunning ||
+      options.isOverloaded?.(attempt) === true;
+    return isOverloaded ? "overloaded" : undefined;
   }
 
   function append(entry: Held, body: frames.FrameBody): void {
--- a/packages/anvilhinge/src/dev/faults_test.ts
+++ b/packages/anvilhinge/src/dev/faults_test.ts
@@ -9,6 +9,8 @@
 
 const root = nodePath.join(__dirname, "../../../../playground");
 const workspace = "drafting/milan";
+/** Limited to 8 requests a second, 16 at once. */
+const smallWorkspace = "drafting/brescia";
 const testTimeoutMs = 60_000;
 
 describe("upstreams with faults", () => {
@@ -75,6 +77,47 @@
     for (const faultSwitch of crashed) faultSwitch.set({ kind: "none" });
   }, testTimeoutMs);
 
+  test(
+    "a workspace over its limit is refused with a time to come back",
+    async () => {
+      const responses = await Promise.all(
+        Array.from(
+          { length: 400 },
+          () =>
+            undici.request(`http://${address}/v1/chat/completions`, {
+              method: "POST",
+              headers: {
+                "x-workspace": smallWorkspace,
+                "content-type": "application/json",
+              },
+              body: JSON.stringify({
+                model: "drafting",
+                messages: [{ role: "user", content: "over the limit" }],
+              }),
+            }),
+        ),
+      );
+      const answers = await Promise.all(responses.map(async (response) => ({
+        status: response.statusCode,
+        retryAfter: Number(response.headers["retry-after"]),
+        text: await response.body.text(),
+      })));
+      const refused = answers.filter(({ status }) => status === 429);
+      expect(refused.length).toBeGreaterThan(0);
+      for (const { retryAfter, text } of refused) {
+        expect(retryAfter).toBeGreaterThanOrEqual(1);
+        expect(JSON.parse(text).error).toMatchObject({
+          code: "not_run",
+          ran: "no",
+        });
+      }
+      const complete = answers.filter(({ status }) => status === 200);
+      expect(complete.length).toBeGreaterThan(0);
+      expect(complete.length + refused.length).toBe(400);
+    },
+    testTimeoutMs,
+  );
+
   test("a rank that stalls with open connections is ejected", async () => {
     const stalls =
       'anvilhinge_health_changes_total{kind="ejected",cause="stall"}';
--- a/packages/anvilhinge/src/entry/addresses.ts
+++ b/packages/anvilhinge/src/entry/addresses.ts
@@ -36,7 +36,8 @@
   readonly count?: number;
 }
 
-const defaultCount = 3;
+/** Addresses that an answer names at most. */
+export const defaultCount = 3;
 /** Callers come back between 75% and 100% of the time to live. */
 const jitterShare = 0.25;
 
--- a/packages/anvilhinge/src/entry/request_runner.ts
+++ b/packages/anvilhinge/src/entry/request_runner.ts
@@ -1,5 +1,6 @@
 /** Runs callers' requests: one session, one span, one answer for each. */
 import * as api from "@opentelemetry/api";
+import type * as limits from "@anvilhinge/coordination/limits";
 import type Koa from "koa";
 import * as tracing from "../telemetry/tracing.ts";
 import * as answerWriter from "./answer_writer.ts";
@@ -79,12 +80,34 @@
     return tracing.injectContext(active) as Readonly<Record<string, string>>;
   }
 
+  /** Answers a request of a workspace that is over a limit. */
+  function writeLimited(
+    koa: Koa.Context,
+    workspace: string,
+    { limit, retryAfterMs }: Extract<limits.AdmitOutcome, { kind: "refused" }>,
+  ): void {
+    answerWriter.writeCallerError(koa, {
+      status: 429,
+      code: "not_run",
+      message:
+        `The request did not run: workspace "${workspace}" is over its limit ${limit}; come back as Retry-After says`,
+      retryAfterMs,
+    });
+  }
+
   /** Runs one request to its end and sets the response. */
   async function runRequest(
     koa: Koa.Context,
     request: session.Request,
     { need, point }: RunOptions,
   ): Promise<void> {
+    const isAdmitted = point === undefined;
+    if (isAdmitted) {
+      const admitted = entry.policy.admit(request.workspace);
+      if (admitted.kind === "refused") {
+        return writeLimited(koa, request.workspace, admitted);
+      }
+    }
     const writer = answerWriter.createAnswerWriter({
       context: koa,
       requestId: request.requestId,
@@ -96,7 +119,7 @@
       if (!koa.res.writableFinished) callerGone.abort();
     });
     entry.state.openRequests += 1;
-    const policy = entry.policy.startRequest(request, need);
+    const policy = entry.policy.startRequest(request, { need, isAdmitted });
     const done = runner.runSession({
       request,
       session: session.createSession(request, {
--- a/packages/coordination/bench/choice_balance.ts
+++ b/packages/coordination/bench/choice_balance.ts
@@ -143,7 +143,7 @@
   }
 
   function handleArrival(): void {
-    events.schedule(-Math.log(1 - source()) * arrivalMs, handleArrival);
+    events.schedule(handleArrival, -Math.log(1 - source()) * arrivalMs);
     const need = Math.floor(source() * needCount);
     const count = Math.floor((workspaceCount - 1 - need) / needCount) + 1;
     const index = need + needCount * pickSkewed(source, count);
@@ -175,7 +175,7 @@
   }
 
   function sample(): void {
-    events.schedule(sampleMs, sample);
+    events.schedule(sample, sampleMs);
     if (events.now() < warmUpMs) return;
     for (const pool of pools) {
       const loads = pool.map(({ id }) => models.get(id)?.countLoad() ?? 0);
--- a/packages/coordination/bench/queue_model.ts
+++ b/packages/coordination/bench/queue_model.ts
@@ -43,7 +43,7 @@
 
   function start(job: Job): void {
     running += 1;
-    events.schedule(job.workMs * slowness, () => finish(job));
+    events.schedule(() => finish(job), job.workMs * slowness);
   }
 
   function takeNext(): Job | undefined {
