--- a/packages/anvilhinge/src/agent/mod.ts
+++ b/packages/anvilhinge/src/agent/mod.ts
@@ -21,6 +21,7 @@
 import * as entryClient from "./entry_client.ts";
 import * as orderService from "./order_service.ts";
 import * as orders from "./orders.ts";
+import * as overload from "./overload.ts";
 import * as service from "./service.ts";
 
 /** Adapters that replace the ones built from the settings. */
@@ -49,6 +50,7 @@
   readonly scheduler: scheduler.Scheduler;
   readonly random: random.RandomSource;
   readonly engine: engine.Engine;
+  readonly overloadGate: overload.OverloadGate;
   readonly store: objectStore.ObjectStore;
   readonly attempts: attempts.Attempts;
   readonly orders: orders.Orders;
@@ -83,6 +85,9 @@
     random: awilix.asFunction(() =>
       random.createRandomSource(nodeCrypto.randomInt(2 ** 31))
     ).singleton(),
+    overloadGate: awilix.asFunction((parts: Parts) =>
+      overload.createOverloadGate(parts.engine, { clock: parts.scheduler })
+    ).singleton(),
     engine: awilix.asFunction(({ scheduler, abort }: Parts) =>
       adapters.engine ?? engineHttp.createHttpEngine({
         baseUrl: settings.engine.url,
@@ -119,12 +124,13 @@
         rank: settings.rank,
         incarnation: parts.incarnation,
         readLoad: () => parts.engine.readLoad(),
+        isOverloaded: parts.overloadGate.isOverloaded,
       })
     ).singleton(),
     service: awilix.asFunction((parts: Parts) =>
       service.createAgentService({
         attempts: parts.attempts,
-        engine: parts.engine,
+        engine: parts.overloadGate.engine,
         incarnation: parts.incarnation,
         clock: parts.scheduler,
         tracing: parts.tracing,
--- a/packages/anvilhinge/src/entry/mod.ts
+++ b/packages/anvilhinge/src/entry/mod.ts
@@ -111,6 +111,10 @@
         random: parts.random,
         logger: parts.logger,
         metrics: parts.metrics,
+        findLimits: (workspace) =>
+          parts.catalog.findWorkspace(settings.half, workspace)?.settings
+            .limits,
+        listMembers: parts.listMembers,
         nodeId: settings.id,
         location: settings,
         signal: parts.abort.signal,
--- a/packages/anvilhinge/src/entry/work_policy.ts
+++ b/packages/anvilhinge/src/entry/work_policy.ts
@@ -4,6 +4,7 @@
  * parts of the coordination package and follows each request through them.
  */
 import * as health from "@anvilhinge/coordination/health";
+import type * as limits from "@anvilhinge/coordination/limits";
 import * as prefixAffinity from "@anvilhinge/coordination/prefix_affinity";
 import * as progressWatch from "@anvilhinge/coordination/progress_watch";
 import type * as random from "@anvilhinge/coordination/random";
@@ -15,6 +16,7 @@
 import type * as agentClient from "./agent_client.ts";
 import type * as session from "./session.ts";
 import * as upstreams from "./upstreams.ts";
+import * as workspaceLimits from "./workspace_limits.ts";
 
 export interface WorkPolicyOptions {
   readonly scheduler: scheduler.Scheduler;
@@ -24,6 +26,8 @@
   readonly location: subset.Location;
   /** Ends the watch over stalled upstreams. */
   readonly signal: AbortSignal;
+  readonly findLimits: workspaceLimits.WorkspaceLimitsOptions["findLimits"];
+  readonly listMembers: workspaceLimits.WorkspaceLimitsOptions["listMembers"];
   readonly logger: logger.Logger;
   readonly metrics: metrics.Metrics;
 }
@@ -44,9 +48,12 @@
 
 export interface WorkPolicy {
   readonly upstreams: upstreams.UpstreamTable;
+  /** Admits a new request of a workspace; `end` releases it. */
+  admit(workspace: string): limits.AdmitOutcome;
+  /** Follows a request; `isAdmitted` is false for one that is resumed. */
   startRequest(
     request: session.Request,
-    need: upstreams.Need,
+    options: { readonly need: upstreams.Need; readonly isAdmitted: boolean },
   ): RequestPolicy;
   countEjected(): number;
   /** Retries that the budget would allow now. */
@@ -101,6 +108,16 @@
       options.logger.info(describeHealthChange(change));
     },
   });
+  const countLimited = options.metrics.createCounter({
+    name: "anvilhinge_limited_total",
+    help: "Requests refused by a limit of their workspace",
+    labelNames: ["limit"],
+  });
+  const workspaces = workspaceLimits.createWorkspaceLimits({
+    clock,
+    findLimits: options.findLimits,
+    listMembers: options.listMembers,
+  });
   const watch = progressWatch.createProgressWatch({ clock });
   const budget = retryBudget.createRetryBudget({ clock });
   const table = upstreams.createUpstreamTable({
@@ -118,7 +135,10 @@
 
   function startRequest(
     request: session.Request,
-    need: upstreams.Need,
+    { need, isAdmitted }: {
+      readonly need: upstreams.Need;
+      readonly isAdmitted: boolean;
+    },
   ): RequestPolicy {
     const prefixKeys = computePrefixKeys(request, need);
     const isWatched = need.kind === "model";
@@ -140,6 +160,9 @@
         ...stream,
         onFrame(frame) {
           if (open !== undefined) watch.recordProgress(open.upstreamId);
+          if (isWatched && frame.body.kind === "chunk") {
+            workspaces.recordTokens(request.workspace, 1);
+          }
           stream.onFrame(frame);
         },
       };
@@ -172,13 +195,23 @@
         run: (attempt, stream) => client.run(attempt, watchStream(stream)),
         resume: (point, stream) => client.resume(point, watchStream(stream)),
       }),
-      end: () => endAttempt({ kind: "abandoned" }),
+      end() {
+        endAttempt({ kind: "abandoned" });
+        if (isAdmitted) workspaces.release(request.workspace);
+      },
     };
   }
 
   checkStalls();
   return {
     upstreams: table,
+    admit(workspace) {
+      const outcome = workspaces.admit(workspace);
+      if (outcome.kind === "refused") {
+        countLimited({ labels: { limit: outcome.limit } });
+      }
+      return outcome;
+    },
     startRequest,
     countEjected: checked.countEjected,
     countRetries: budget.count,
