--- a/packages/coordination/src/claim_committer.ts
+++ b/packages/coordination/src/claim_committer.ts
@@ -18,13 +18,16 @@
   /** Wall-clock time in milliseconds since 1970, for retention only. */
   readonly readWallMs: () => number;
   /**
-   * Least time between two writes of the shard, in milliseconds.
+   * Least time between two writes of the shard, in milliseconds; doubles while
+   * other entries write the shard too, up to `maxWriteIntervalMs`.
    * @default 50
    */
   readonly writeIntervalMs?: number;
+  /** @default 200 */
+  readonly maxWriteIntervalMs?: number;
   /**
    * Longest wait of an outcome for a claim to share its write, in milliseconds.
-   * @default 500
+   * @default 2000
    */
   readonly settleLingerMs?: number;
   /** @default claimShard.defaultShardLimits */
@@ -97,7 +100,10 @@
 }
 
 const defaultWriteIntervalMs = 50;
-const defaultSettleLingerMs = 500;
+const defaultMaxWriteIntervalMs = 200;
+const defaultSettleLingerMs = 2_000;
+/** Factor by which the interval shrinks after a write without a conflict. */
+const intervalDecay = 0.9;
 const maxConflicts = 8;
 const maxUnknowns = 2;
 const maxKeptOutcomes = 1_000;
@@ -105,13 +111,16 @@
 
 /** Creates the committer of one shard. */
 export function createCommitter(options: CommitterOptions): Committer {
-  const writeIntervalMs = options.writeIntervalMs ?? defaultWriteIntervalMs;
+  const leastIntervalMs = options.writeIntervalMs ?? defaultWriteIntervalMs;
+  const maxIntervalMs = options.maxWriteIntervalMs ??
+    defaultMaxWriteIntervalMs;
   const settleLingerMs = options.settleLingerMs ?? defaultSettleLingerMs;
   const limits = options.limits ?? claimShard.defaultShardLimits;
   let waiting: Waiting[] = [];
   let flight: Flight | undefined;
   let cached: VersionedShard | undefined;
   let notBeforeMs = 0;
+  let writeIntervalMs = leastIntervalMs;
   let timerAtMs = Infinity;
 
   function computeDueMs(): number {
@@ -215,9 +224,14 @@
       case "accepted":
         if (applied === undefined) return [];
         cached = { shard: applied.shard, version: outcome.version };
+        if (running.conflicts === 0) {
+          const shorterMs = writeIntervalMs * intervalDecay;
+          writeIntervalMs = Math.max(leastIntervalMs, shorterMs);
+        }
         return finish(running, applied);
       case "conflict":
         running.conflicts += 1;
+        writeIntervalMs = Math.min(maxIntervalMs, 2 * writeIntervalMs);
         if (running.conflicts > maxConflicts) {
           return fail(running, "The claim shard is written by too many");
         }
