--- a/packages/anvilhinge/src/entry/mod.ts
+++ b/packages/anvilhinge/src/entry/mod.ts
@@ -23,10 +23,12 @@
 import * as catalog from "./catalog.ts";
 import * as claimStore from "./claim_store.ts";
 import type * as context from "./context.ts";
+import * as controlDuties from "./control_duties.ts";
 import * as controlService from "./control_service.ts";
+import * as movesHttp from "./moves_http.ts";
 import * as operatorsHttp from "./operators_http.ts";
-import * as upstreams from "./upstreams.ts";
 import * as view from "./view.ts";
+import * as workPolicy from "./work_policy.ts";
 
 /** Adapters that replace the ones built from the settings. */
 export interface EntryAdapters {
@@ -52,6 +54,7 @@
   readonly abort: AbortController;
   readonly instances: instanceList.InstanceList;
   readonly control: controlService.ControlService;
+  readonly duties: controlDuties.ControlDuties;
 }
 
 const membersIntervalMs = 500;
@@ -92,9 +95,19 @@
       })
     ).singleton(),
     catalog: awilix.asFunction(catalog.createCatalog).singleton(),
-    upstreams: awilix.asFunction(({ random }: Parts) =>
-      upstreams.createUpstreamTable({ random })
+    policy: awilix.asFunction((parts: Parts) =>
+      workPolicy.createWorkPolicy({
+        scheduler: parts.scheduler,
+        random: parts.random,
+        logger: parts.logger,
+        metrics: parts.metrics,
+        nodeId: settings.id,
+        location: settings,
+        signal: parts.abort.signal,
+      })
     ).singleton(),
+    upstreams: awilix.asFunction(({ policy }: Parts) => policy.upstreams)
+      .singleton(),
     client: awilix.asFunction(({ abort }: Parts) =>
       agentClient.createAgentClient({ signal: abort.signal })
     ).singleton(),
@@ -112,11 +125,15 @@
         signal: parts.abort.signal,
       })
     ).singleton(),
-    control: awilix.asFunction(({ upstreams }: Parts) =>
+    control: awilix.asFunction(({ upstreams, duties }: Parts) =>
       controlService.createControlService({
         findAssignment: upstreams.findAssignment,
+        duties,
       })
     ).singleton(),
+    duties: awilix.asFunction((parts: Parts) =>
+      controlDuties.createControlDuties(parts, { signal: parts.abort.signal })
+    ).singleton(),
     logger: awilix.asFunction(() =>
       logger.createLogger({
         part: "entry",
@@ -193,6 +210,7 @@
   );
   app.use(callersHttp.createCallersRouter(parts).routes());
   app.use(operatorsHttp.createOperatorsRouter(parts).routes());
+  app.use(movesHttp.createMovesRouter(parts).routes());
   app.use((koa) => {
     koa.status = 404;
     koa.body = {
@@ -223,6 +241,8 @@
     routes: parts.control.routes,
     ...settings.controlAddress,
     signal,
+    onFailure: (call, message) =>
+      logger.warnOnce(call, `Call ${call} failed: ${message}`),
   });
   await new Promise<void>((resolve) =>
     view.followView({
@@ -235,6 +255,7 @@
       },
     })
   );
+  parts.duties.start(controlAddress);
   logger.info(`Serves callers on ${address} and agents on ${controlAddress}`);
 
   function wait(delayMs: number): Promise<void> {
@@ -247,6 +268,7 @@
     async stop() {
       state.isLeaving = true;
       logger.info("Stops being handed out");
+      await parts.duties.stop();
       await wait(settings.addressAnswerTtlMs);
       state.isClosed = true;
       logger.info(`Finishes ${state.openRequests} requests`);
--- a/packages/anvilhinge/src/entry/session_resume_test.ts
+++ b/packages/anvilhinge/src/entry/session_resume_test.ts
@@ -50,6 +50,11 @@
     outcome: { kind: "described", incarnation: "a", nowMs: 0 },
   });
   expect(dispatched.map((effect) => effect.kind)).toContain("dispatch");
+  machine.handle({
+    kind: "prepared",
+    attemptId: "attempt-0",
+    outcome: { kind: "described", incarnation: "a", nowMs: 0 },
+  });
   machine.handle({
     kind: "frame",
     frame: createFrame("attempt-0", 0, {
