--- /dev/null
+++ b/packages/anvilhinge/src/entry/session_core.ts
@@ -0,0 +1,217 @@
+/**
+ * What the parts of a session share: its state, the choice of the next attempt,
+ * and the ways in which it ends.
+ */
+import type * as engine from "../ports/engine.ts";
+import * as answerBuffer from "./answer_buffer.ts";
+import * as attemptState from "./attempt_state.ts";
+import type * as types from "./session_types.ts";
+
+export type Effects = types.SessionEffect[];
+
+type NotRun = Pick<
+  Extract<types.FinalAnswer, { readonly kind: "not_run" }>,
+  "reason" | "retryAfterMs"
+>;
+type Observation = Extract<
+  types.SessionEffect,
+  { readonly kind: "observe" }
+>["outcome"];
+
+/** State that the parts of one session change. */
+export interface SharedState {
+  attempts: number;
+  current: attemptState.AttemptState | undefined;
+  /** Claimed attempt of which a proof says that it never runs. */
+  unrunAttemptId: string | undefined;
+  /** True when no other sending of this request ran so far. */
+  isNameClear: boolean;
+  /** What is said when the claims know of no earlier sending. */
+  pendingNotRun: NotRun | undefined;
+  /** Whether any earlier attempt of this request ran. */
+  ran: types.Ran;
+  isDone: boolean;
+}
+
+export interface SessionCore {
+  readonly request: types.Request;
+  readonly options: types.SessionOptions;
+  readonly shared: SharedState;
+  readonly buffer: answerBuffer.AnswerBuffer;
+  readonly recorder: answerBuffer.AnswerRecorder;
+  readonly maxAttempts: number;
+  /** Raises what is known of the effects of earlier attempts. */
+  raiseRan(found: types.Ran): void;
+  finish(final: types.FinalAnswer): Effects;
+  /** Finishes a request of which the last attempt did not run. */
+  finishNotRun(reason: string, retryAfterMs: number): Effects;
+  finishUnknown(message: string, retryAfterMs?: number): Effects;
+  /** Reports the end of an attempt once. */
+  observe(
+    state: attemptState.AttemptState,
+    outcome: Observation,
+    report?: { readonly load?: engine.EngineLoad },
+  ): Effects;
+  watchStall(): types.SessionEffect;
+  startAttempt(): Effects;
+  /** Goes on after an attempt that surely did not run. */
+  retryNotRun(reason: string, retryAfterMs: number): Effects;
+  /** Goes on after an attempt that ran, or may have run, without completing. */
+  retryUncertain(
+    state: attemptState.AttemptState,
+    message: string,
+  ): Effects;
+  sendResume(state: attemptState.AttemptState): Effects;
+  sendSeal(state: attemptState.AttemptState): Effects;
+}
+
+const defaultMaxAttempts = 4;
+const defaultStallMs = 5_000;
+const defaultWholeAnswerLimitBytes = 8 * 1024 * 1024;
+
+/** Creates the core of a session that has not begun. */
+export function createSessionCore(
+  request: types.Request,
+  options: types.SessionOptions,
+): SessionCore {
+  const maxAttempts = options.maxAttempts ?? defaultMaxAttempts;
+  const stallMs = options.stallMs ?? defaultStallMs;
+  const buffer = answerBuffer.createAnswerBuffer({
+    isStreamed: request.delivery === "streamed" ||
+      options.resumePoint !== undefined,
+    limitBytes: options.wholeAnswerLimitBytes ?? defaultWholeAnswerLimitBytes,
+  });
+  const recorder = answerBuffer.createAnswerRecorder();
+  const tried = new Set<string>();
+  const shared: SharedState = {
+    attempts: 0,
+    current: undefined,
+    unrunAttemptId: undefined,
+    isNameClear: request.isRepeatable || !request.isNamed,
+    pendingNotRun: undefined,
+    ran: "no",
+    isDone: false,
+  };
+
+  function raiseRan(found: types.Ran): void {
+    if (found === "yes" || shared.ran === "no") shared.ran = found;
+  }
+
+  function finish(final: types.FinalAnswer): Effects {
+    shared.isDone = true;
+    shared.current = undefined;
+    return [{ kind: "answer", answer: final }];
+  }
+
+  /** Finishes a request of which the last attempt did not run. */
+  function finishNotRun(reason: string, retryAfterMs: number): Effects {
+    if (shared.ran !== "no") {
+      return finish({ kind: "failed", message: reason, ran: shared.ran });
+    }
+    shared.current = undefined;
+    if (!shared.isNameClear) {
+      shared.pendingNotRun = { reason, retryAfterMs };
+      return [{ kind: "find" }];
+    }
+    const settled: Effects = shared.unrunAttemptId === undefined ? [] : [{
+      kind: "settle",
+      attemptId: shared.unrunAttemptId,
+      state: { kind: "not_run" },
+    }];
+    return [...settled, ...finish({ kind: "not_run", reason, retryAfterMs })];
+  }
+
+  function finishUnknown(message: string, retryAfterMs = 0): Effects {
+    return finish({ kind: "unknown", message, retryAfterMs });
+  }
+
+  function observe(
+    state: attemptState.AttemptState,
+    outcome: Observation,
+    { load }: { readonly load?: engine.EngineLoad } = {},
+  ): Effects {
+    if (state.isObserved) return [];
+    state.isObserved = true;
+    return [{ kind: "observe", upstream: state.upstream, outcome, load }];
+  }
+
+  function watchStall(): types.SessionEffect {
+    return { kind: "set_timer", name: "stall", delayMs: stallMs };
+  }
+
+  function startAttempt(): Effects {
+    if (request.deadlineAtMs <= options.clock.now()) {
+      const reason = "The deadline passed before an upstream was found";
+      return finishNotRun(reason, 0);
+    }
+    const choice = options.chooseUpstream(tried);
+    if (choice.kind === "none") {
+      return finishNotRun(choice.reason, choice.retryAfterMs);
+    }
+    const { upstream } = choice;
+    shared.attempts += 1;
+    tried.add(upstream.id);
+    const attemptId = options.createAttemptId();
+    buffer.restart();
+    recorder.restart();
+    shared.current = attemptState.createAttemptState(attemptId, upstream);
+    return [{ kind: "prepare", upstream, attemptId }];
+  }
+
+  /** Goes on after an attempt that surely did not run. */
+  function retryNotRun(reason: string, retryAfterMs: number): Effects {
+    shared.current = undefined;
+    const mayRetry = shared.attempts < maxAttempts && options.takeRetry();
+    return mayRetry ? startAttempt() : finishNotRun(reason, retryAfterMs);
+  }
+
+  /** Goes on after an attempt that ran, or may have run, without completing. */
+  function retryUncertain(
+    state: attemptState.AttemptState,
+    message: string,
+  ): Effects {
+    if (!request.isRepeatable) return finishUnknown(message);
+    raiseRan(state.isStarted ? "yes" : "unknown");
+    shared.current = undefined;
+    const mayRetry = !buffer.hasDelivered() && shared.attempts < maxAttempts &&
+      options.takeRetry();
+    return mayRetry
+      ? startAttempt()
+      : finish({ kind: "failed", message, ran: shared.ran });
+  }
+
+  function sendResume(state: attemptState.AttemptState): Effects {
+    state.phase = "sent";
+    const { upstream, attemptId, nextSequence } = state;
+    return [
+      { kind: "resume", upstream, attemptId, fromSequence: nextSequence },
+      watchStall(),
+    ];
+  }
+
+  function sendSeal(state: attemptState.AttemptState): Effects {
+    state.phase = "sealing";
+    const seal = attemptState.buildSeal(request, state);
+    return [{ kind: "seal", upstream: state.upstream, seal }];
+  }
+
+  return {
+    request,
+    options,
+    shared,
+    buffer,
+    recorder,
+    maxAttempts,
+    raiseRan,
+    finish,
+    finishNotRun,
+    finishUnknown,
+    observe,
+    watchStall,
+    startAttempt,
+    retryNotRun,
+    retryUncertain,
+    sendResume,
+    sendSeal,
+  };
+}
--- /dev/null
+++ b/packages/anvilhinge/src/entry/session_frames.ts
@@ -0,0 +1,204 @@
+/** The part of a session that follows a dispatched attempt. */
+import type * as frames from "../ports/frames.ts";
+import * as attemptState from "./attempt_state.ts";
+import type * as sessionCore from "./session_core.ts";
+import type * as types from "./session_types.ts";
+
+type Effects = sessionCore.Effects;
+type Body<Kind extends frames.FrameBody["kind"]> = Extract<
+  frames.FrameBody,
+  { readonly kind: Kind }
+>;
+
+export interface FrameSteps {
+  handleFrame(frame: frames.Frame): Effects;
+  handleLost(
+    state: attemptState.AttemptState,
+    event: Extract<types.SessionEvent, { readonly kind: "lost" }>,
+  ): Effects;
+  handleStall(): Effects;
+  handleSealAnswer(
+    state: attemptState.AttemptState,
+    outcome: types.SealAnswer,
+  ): Effects;
+}
+
+const defaultMaxResumes = 3;
+
+/** Creates the steps on the core of a session. */
+export function createFrameSteps(core: sessionCore.SessionCore): FrameSteps {
+  const { request, options, shared, buffer, recorder } = core;
+  const { observe, watchStall, finishUnknown, sendResume, sendSeal } = core;
+  const { retryNotRun, retryUncertain } = core;
+  const maxResumes = options.maxResumes ?? defaultMaxResumes;
+
+  /** Goes on after the stream of frames broke off or fell silent. */
+  function handleBroken(
+    state: attemptState.AttemptState,
+    message: string,
+  ): Effects {
+    const isFollowable = state.isStarted && state.resumes < maxResumes;
+    if (isFollowable) {
+      state.resumes += 1;
+      return sendResume(state);
+    }
+    const observed = observe(state, "lost");
+    if (!request.isRepeatable) {
+      return state.isStarted
+        ? [...observed, ...finishUnknown(message)]
+        : [...observed, ...sendSeal(state)];
+    }
+    const { upstream, attemptId } = state;
+    return [
+      ...observed,
+      { kind: "cancel", upstream, attemptId },
+      ...retryUncertain(state, message),
+    ];
+  }
+
+  function handleLost(
+    state: attemptState.AttemptState,
+    event: Extract<types.SessionEvent, { readonly kind: "lost" }>,
+  ): Effects {
+    if (state.phase !== "sent") return [];
+    // A call to resume that was not sent says nothing about the attempt.
+    if (event.sent || state.isStarted) {
+      return handleBroken(state, event.message);
+    }
+    shared.unrunAttemptId = state.attemptId;
+    return [...observe(state, "lost"), ...retryNotRun(event.message, 0)];
+  }
+
+  function handleStall(): Effects {
+    if (shared.current?.phase !== "sent") return [];
+    // Slow work that must not run twice goes on as long as its agent says so.
+    return request.isRepeatable
+      ? handleBroken(shared.current, "The upstream sent nothing for too long")
+      : sendSeal(shared.current);
+  }
+
+  function handleFrame(frame: frames.Frame): Effects {
+    const state = shared.current;
+    const isOpen = state?.phase === "sent" || state?.phase === "sealing";
+    if (
+      state === undefined || !isOpen ||
+      frame.requestId !== request.requestId ||
+      frame.attemptId !== state.attemptId ||
+      frame.sequence < state.nextSequence
+    ) {
+      return [{ kind: "drop", frame }];
+    }
+    if (
+      frame.sequence > state.nextSequence || !attemptState.isInPlace(frame)
+    ) {
+      const dropped: types.SessionEffect = { kind: "drop", frame };
+      if (state.phase === "sealing") return [dropped];
+      state.isStarted = true;
+      return [dropped, ...handleBroken(state, "The answer has gaps")];
+    }
+    state.nextSequence += 1;
+    return applyFrame(state, frame);
+  }
+
+  function applyFrame(
+    state: attemptState.AttemptState,
+    { body, sequence }: frames.Frame,
+  ): Effects {
+    const { upstream, attemptId } = state;
+    switch (body.kind) {
+      case "accepted":
+        state.isStarted = true;
+        recorder.setHead(body.head);
+        buffer.add({ kind: "head", head: body.head, upstream, attemptId });
+        return [watchStall()];
+      case "chunk":
+        recorder.addData(body.data);
+        return [
+          ...buffer.add({ kind: "data", data: body.data, sequence }),
+          watchStall(),
+        ];
+      case "end":
+        return handleEnd(state, body);
+      case "refused":
+        return handleRefused(state, body);
+      case "failed":
+        state.isStarted = true;
+        return [
+          ...observe(state, "failed", body),
+          ...retryUncertain(state, body.message),
+        ];
+      case "not_held":
+        return [
+          ...observe(state, "lost"),
+          ...retryUncertain(
+            state,
+            `Upstream ${upstream.id} no longer holds the answer`,
+          ),
+        ];
+    }
+  }
+
+  function handleEnd(
+    state: attemptState.AttemptState,
+    body: Body<"end">,
+  ): Effects {
+    shared.isDone = true;
+    shared.current = undefined;
+    const settled: Effects = request.isRepeatable ? [] : [{
+      kind: "settle",
+      attemptId: state.attemptId,
+      state: { kind: "finished", answer: recorder.build() },
+    }];
+    return [
+      ...observe(state, "completed", body),
+      ...settled,
+      ...buffer.takeAll(),
+      { kind: "end" },
+    ];
+  }
+
+  function handleRefused(
+    state: attemptState.AttemptState,
+    body: Body<"refused">,
+  ): Effects {
+    const observed = observe(state, "refused", body);
+    const reason = `Upstream ${state.upstream.id} refused: ${body.reason}`;
+    // Says nothing about the incarnation that the attempt was meant for.
+    if (body.reason === "wrong_incarnation") {
+      return [...observed, ...retryUncertain(state, reason)];
+    }
+    shared.unrunAttemptId = state.attemptId;
+    return [...observed, ...retryNotRun(reason, body.retryAfterMs)];
+  }
+
+  function handleSealAnswer(
+    state: attemptState.AttemptState,
+    outcome: types.SealAnswer,
+  ): Effects {
+    const { upstream, attemptId } = state;
+    switch (outcome) {
+      case "sealed":
+        shared.unrunAttemptId = attemptId;
+        return [
+          ...observe(state, "lost"),
+          ...retryNotRun(`Upstream ${upstream.id} did not start it`, 0),
+        ];
+      case "running":
+      case "finished":
+        state.isStarted = true;
+        return sendResume(state);
+      case "unknown":
+        return [
+          ...observe(state, "lost"),
+          ...finishUnknown(`Upstream ${upstream.id} has restarted since`),
+        ];
+      case "unreachable":
+        return [
+          ...observe(state, "lost"),
+          ...finishUnknown(`Contact with upstream ${upstream.id} was lost`),
+        ];
+    }
+  }
+
+  return { handleFrame, handleLost, handleStall, handleSealAnswer };
+}
--- a/packages/anvilhinge/src/matrix/entry_node.ts
+++ b/packages/anvilhinge/src/matrix/entry_node.ts
@@ -64,7 +64,6 @@
   let isUp = true;
   let pausedUntilMs = 0;
   const deathListeners: (() => void)[] = [];
-  const calls = new AbortController();
 
   /** Runs a callback in the process: not once it died, later while paused. */
   function execute(callback: () => void): void {
@@ -224,7 +223,6 @@
     kill() {
       if (!isUp) return;
       isUp = false;
-      calls.abort();
       for (const listener of deathListeners) listener();
     },
     onDeath: (listener) => void deathListeners.push(listener),
