--- a/packages/anvilhinge/src/entry/runner.ts
+++ b/packages/anvilhinge/src/entry/runner.ts
@@ -6,6 +6,7 @@
 import type * as agentClocks from "./agent_clocks.ts";
 import type * as claimStore from "./claim_store.ts";
 import type * as session from "./session.ts";
+import * as sessionTimers from "./session_timers.ts";
 
 /** Where the answer of one request goes. */
 export interface AnswerSink {
@@ -49,13 +50,17 @@
 /** Runs the session until it is done; resolves then. */
 export function runSession(options: RunOptions): Promise<void> {
   const { request, client, claims, clocks } = options;
-  const timers = new Map<session.TimerName, AbortController>();
   /** Streams by attempt id; a resumed stream replaces the one before it. */
   const streams = new Map<string, AbortController>();
   const events: session.SessionEvent[] = [];
   let isFeeding = false;
 
   return new Promise((resolve) => {
+    const timers = sessionTimers.createSessionTimers({
+      scheduler: options.scheduler,
+      onDue: (name) => feed({ kind: "timer", name }),
+    });
+
     /** Handles one event after the other, also when effects cause more. */
     function feed(event: session.SessionEvent): void {
       events.push(event);
@@ -71,7 +76,6 @@
     }
 
     function finish(): void {
-      for (const timer of timers.values()) timer.abort();
       for (const stream of streams.values()) stream.abort();
       timers.clear();
       streams.clear();
@@ -108,16 +112,6 @@
       };
     }
 
-    function setTimer(name: session.TimerName, delayMs: number): void {
-      timers.get(name)?.abort();
-      const abort = new AbortController();
-      timers.set(name, abort);
-      options.scheduler.schedule(() => feed({ kind: "timer", name }), {
-        delayMs,
-        signal: abort.signal,
-      });
-    }
-
     async function prepare(
       { attemptId, upstream }: Effect<"prepare">,
     ): Promise<void> {
@@ -201,7 +195,7 @@
         case "answer":
           return options.sink.answer(effect.answer);
         case "set_timer":
-          return setTimer(effect.name, effect.delayMs);
+          return timers.set(effect.name, effect.delayMs);
         case "observe":
           return options.onObserve(effect);
         case "drop":
