--- /dev/null
+++ b/scripts/capacity/fit_test.ts
@@ -0,0 +1,18 @@
+import * as fit from "./fit.ts";
+
+test("a straight line is found with its slope, no residual and exponent 1", () => {
+  const samples = [10, 20, 40].map((size) => ({ size, value: 3 * size }));
+  const fitted = fit.fitSamples(samples);
+  expect(fitted.slope).toBeCloseTo(3);
+  expect(fitted.intercept).toBeCloseTo(0);
+  expect(fitted.residual).toBeCloseTo(0);
+  expect(fitted.exponent).toBeCloseTo(1);
+  expect(fit.computeAt(fitted, 100)).toBeCloseTo(300);
+});
+
+test("growth with the square shows in exponent and residual", () => {
+  const samples = [10, 20, 40].map((size) => ({ size, value: size ** 2 }));
+  const fitted = fit.fitSamples(samples);
+  expect(fitted.exponent).toBeCloseTo(2);
+  expect(fitted.residual).toBeGreaterThan(0.05);
+});
