--- a/packages/coordination/src/fencing_test.ts
+++ b/packages/coordination/src/fencing_test.ts
@@ -328,3 +328,27 @@
     fencing.computeEngineNumber({ epoch: 2 ** 20, fencingNumber: 4 })
   ).toThrow("exceeds the range");
 });
+
+test("orders of an epoch that is over are refused, whatever their number", () => {
+  const gate = fencing.createGate<string, number>({ checksFencing: true });
+  const send = (sequence: number, term: fencing.Floor) =>
+    gate.handle({
+      kind: "order",
+      order: {
+        id: `order-${sequence}`,
+        term: { ...term, sequence },
+        order: "",
+      },
+    });
+  expect(send(1, { epoch: 2, fencingNumber: 50 })).toEqual([
+    { kind: "read_floor" },
+  ]);
+  // The agent learns of the next epoch while the floor is being read.
+  gate.handle({ kind: "epoch", epoch: 3 });
+  gate.handle({ kind: "floor", floor: { epoch: 2, fencingNumber: 50 } });
+  expect(gate.handle({ kind: "state", state: 0 })).toMatchObject([
+    { kind: "answer", id: "order-1", answer: { kind: "fenced" } },
+  ]);
+  const [effect] = send(2, { epoch: 3, fencingNumber: 4 });
+  expect(effect).toMatchObject({ kind: "execute" });
+});
