--- a/packages/anvilhinge/src/entry/context.ts
+++ b/packages/anvilhinge/src/entry/context.ts
@@ -12,6 +12,7 @@
 import type * as catalog from "./catalog.ts";
 import type * as claimStore from "./claim_store.ts";
 import type * as upstreams from "./upstreams.ts";
+import type * as workPolicy from "./work_policy.ts";
 
 /** Whether the entry takes work; changed only by its life cycle. */
 export interface EntryState {
@@ -34,6 +35,7 @@
   readonly createId: () => string;
   readonly catalog: catalog.Catalog;
   readonly upstreams: upstreams.UpstreamTable;
+  readonly policy: workPolicy.WorkPolicy;
   readonly client: agentClient.AgentClient;
   readonly clocks: agentClocks.AgentClocks;
   readonly claims: claimStore.ClaimStore;
--- /dev/null
+++ b/packages/coordination/bench/overload.ts
@@ -0,0 +1,57 @@
+/** Prints goodput under overload and the load that retries add. */
+import * as overloadModel from "./overload_model.ts";
+import * as retryModel from "./retry_model.ts";
+
+const seed = Number(process.argv[2] ?? 1);
+
+function formatShare(share: number): string {
+  return `${(share * 100).toFixed(1)}%`;
+}
+
+function showGoodput(): void {
+  console.log(`goodput, seed ${seed}`);
+  for (const overload of [1, 2, 5]) {
+    for (const shedding of ["none", "expired", "admission"] as const) {
+      const result = overloadModel.measureGoodput({ seed, overload, shedding });
+      console.log([
+        `${overload}x`,
+        shedding.padEnd(10),
+        `goodput ${formatShare(result.goodput)}`,
+        `urgent answered ${formatShare(result.urgentShare)}`,
+        `refused early ${formatShare(result.refusedShare)}`,
+      ].join("  "));
+    }
+  }
+}
+
+function showRetries(failedShare: number, noise: number): void {
+  console.log(
+    `\nretries, seed ${seed}, ${formatShare(failedShare)} of upstreams fail, ${
+      formatShare(noise)
+    } of attempts fail at sound ones`,
+  );
+  for (const usesHealth of [false, true]) {
+    for (const usesBudget of [false, true]) {
+      const result = retryModel.measureRetries({
+        seed,
+        usesBudget,
+        usesHealth,
+        noise,
+        failedShare,
+      });
+      console.log([
+        usesHealth ? "ejection   " : "no ejection",
+        usesBudget ? "budget   " : "no budget",
+        `amplification ${result.amplification.toFixed(3)}`,
+        `completed ${formatShare(result.completedShare)}`,
+        `ejected ${result.ejected} within ${result.ejectionMs.toFixed(0)} ms`,
+        `false ejections ${result.falseEjections}`,
+      ].join("  "));
+    }
+  }
+}
+
+showGoodput();
+showRetries(1 / 3, 0);
+showRetries(1 / 3, 0.02);
+showRetries(1, 0);
