--- /dev/null
+++ b/packages/anvilhinge/src/dev/control_test.ts
@@ -0,0 +1,235 @@
+import * as nodeCrypto from "node:crypto";
+import * as nodePath from "node:path";
+import * as random from "@anvilhinge/coordination/random";
+import * as undici from "undici";
+import * as systemScheduler from "../adapters/system_scheduler.ts";
+import * as entry from "../entry/mod.ts";
+import type * as process from "../settings/process.ts";
+import * as playground from "../settings/playground.ts";
+import * as caller from "./caller.ts";
+import * as system from "./system.ts";
+
+const root = nodePath.join(__dirname, "../../../../playground");
+const token = "token-of-drafting";
+const workspacePath = "/association/drafting/workspaces/lecco";
+const workspace = JSON.stringify({
+  models: ["drafting"],
+  limits: { requestsPerSecond: 10, tokensPerSecond: 1000, concurrency: 10 },
+});
+const operators = [{
+  name: "ada",
+  tokenSha256: nodeCrypto.createHash("sha256").update(token).digest("hex"),
+  subtrees: ["/association/drafting"],
+}];
+const entriesPerHalf = 7;
+const watchersPerHalf = 6;
+const prefixCount = 2;
+const chat = {
+  workspace: "drafting/milan",
+  body: { model: "drafting", messages: [{ role: "user", content: "agenda" }] },
+};
+
+async function send(
+  address: string,
+  path: string,
+  options: Parameters<typeof undici.request>[1] = {},
+) {
+  const response = await undici.request(`http://${address}${path}`, options);
+  const text = await response.body.text();
+  const headers = response.headers;
+  return { status: response.statusCode, headers, text };
+}
+
+function put(address: string, path: string, options: {
+  readonly text: string;
+  readonly headers?: Record<string, string>;
+}) {
+  return send(address, `/settings${path}`, {
+    method: "PUT",
+    headers: {
+      authorization: `Bearer ${token}`,
+      "if-none-match": "*",
+      ...options.headers,
+    },
+    body: options.text,
+  });
+}
+
+async function poll(check: () => Promise<boolean> | boolean): Promise<boolean> {
+  for (let attempt = 0; attempt < 200; attempt += 1) {
+    if (await check()) return true;
+    await new Promise((resolve) => setTimeout(resolve, 25));
+  }
+  return false;
+}
+
+describe("settings and members over the entries of a half", () => {
+  const abort = new AbortController();
+  const scheduler = systemScheduler.createSystemScheduler();
+  let running: system.RunningSystem;
+  let own: readonly system.SystemEntry[];
+
+  beforeAll(async () => {
+    const loaded = await playground.loadPlayground(root);
+    if (loaded.kind === "invalid") throw new Error(loaded.problems[0]?.message);
+    running = await system.startSystem({
+      objects: loaded.settings,
+      scheduler,
+      random: random.createRandomSource(1),
+      signal: abort.signal,
+      stepMs: 1,
+      entriesPerHalf,
+      operators,
+      addressAnswerTtlMs: 100,
+      logLevel: "error",
+    });
+    own = running.entries.filter(({ half }) => half === "association");
+  });
+
+  afterAll(async () => {
+    await running.stop();
+    abort.abort();
+  });
+
+  async function listMembers(address: string) {
+    const { text } = await send(address, "/status");
+    return JSON.parse(text).entries as readonly {
+      readonly id: string;
+      readonly state: string;
+    }[];
+  }
+
+  async function hasLecco({ address }: { readonly address: string }) {
+    const headers = { "x-workspace": "drafting/lecco" };
+    const { status } = await send(address, "/v1/addresses", { headers });
+    return status === 200;
+  }
+
+  test("two entries of each failure domain watch the object API", async () => {
+    const expected = 2 * watchersPerHalf * prefixCount;
+    expect(await poll(() => running.api.countWatches() === expected))
+      .toBe(true);
+  });
+
+  test("a change accepted at one entry is in force at every entry", async () => {
+    const [first] = own;
+    const answer = await put(first!.address, workspacePath, {
+      text: workspace,
+      headers: { "change-id": "change-0001" },
+    });
+    expect(answer.status).toBe(200);
+    for (const running of own) {
+      expect(await poll(() => hasLecco(running))).toBe(true);
+    }
+    const found = await send(
+      own[1]!.address,
+      `/changes/change-0001?path=${workspacePath}`,
+    );
+    const version = Number(String(answer.headers.etag).replaceAll('"', ""));
+    expect(JSON.parse(found.text)).toEqual({ outcome: "accepted", version });
+  });
+
+  test("entries of the other half don't get the workspace", async () => {
+    const other = running.entries.find(({ half }) => half === "water_board")!;
+    expect(await hasLecco(other)).toBe(false);
+  });
+
+  test("a team's token doesn't write elsewhere", async () => {
+    const { address } = own[0]!;
+    const elsewhere = "/association/archive/models/other";
+    const text = JSON.stringify({ maxTokens: 1 });
+    expect((await put(address, elsewhere, { text })).status).toBe(403);
+    const headers = { authorization: "Bearer wrong" };
+    const refused = await put(address, workspacePath, { text, headers });
+    expect(refused.status).toBe(403);
+  });
+
+  test("a reference to something missing is refused with its line", async () => {
+    const text = workspace.replace('["drafting"]', '["none"]');
+    const path = "/association/drafting/workspaces/varese";
+    const answer = await put(own[0]!.address, path, { text });
+    expect(answer.status).toBe(422);
+    expect(JSON.parse(answer.text).problems[0]).toMatchObject({
+      path: "models[0]",
+      line: 1,
+      message: "/association/drafting/models/none does not exist",
+    });
+  });
+
+  test("a change against an old version is refused with the present one", async () => {
+    const headers = { "if-none-match": "", "if-match": '"1"' };
+    const text = workspace;
+    const answer = await put(own[0]!.address, workspacePath, { text, headers });
+    expect(answer.status).toBe(412);
+    expect(JSON.parse(answer.text).current.version).toBeGreaterThan(1);
+  });
+
+  test("a change that could not be checked may be repeated", async () => {
+    const path = "/association/drafting/workspaces/lodi";
+    running.storeFaults.set({ kind: "late", delayMs: 200 }, { callCount: 2 });
+    // The first call is the list, which fails before anything is written.
+    const first = await put(own[0]!.address, path, { text: workspace });
+    running.storeFaults.set({ kind: "none" });
+    expect(first.status).toBe(503);
+    const second = await put(own[0]!.address, path, { text: workspace });
+    expect(second.status).toBe(200);
+  });
+
+  test("an outage of the store stops changes, not service", async () => {
+    running.storeFaults.set({ kind: "down" });
+    const { address } = own[0]!;
+    const path = "/association/drafting/workspaces/sondrio";
+    const refused = await put(address, path, { text: workspace });
+    expect(refused.status).toBe(503);
+    expect(refused.text).toContain("nothing was changed");
+    expect((await caller.sendChat({ address, ...chat })).kind).toBe("complete");
+
+    const settings: process.EntrySettings = {
+      id: "association-entry-8",
+      half: "association",
+      address: { host: "127.0.0.1", port: 0 },
+      controlAddress: { host: "127.0.0.1", port: 0 },
+      failureDomain: own[0]!.failureDomain,
+      region: "milan",
+      platform: {
+        objectStore: "http://127.0.0.1:1",
+        instanceList: "http://127.0.0.1:1",
+      },
+      addressAnswerTtlMs: 100,
+      requestBodyLimitBytes: 1024,
+      tracing: { exporter: "none" },
+      log: { level: "error" },
+      operators: [],
+    };
+    const starting = entry.startEntry(settings, {
+      store: running.store,
+      instances: {
+        list: () =>
+          Promise.resolve({
+            kind: "listed",
+            instances: own.map((known) => ({
+              ...known,
+              role: "entry",
+              state: "live",
+            })),
+          }),
+      },
+    });
+    const joined = await starting;
+    abort.signal.addEventListener("abort", joined.kill);
+    expect(await hasLecco(joined)).toBe(true);
+    expect(
+      (await caller.sendChat({ address: joined.address, ...chat })).kind,
+    ).toBe("complete");
+    running.storeFaults.set({ kind: "none" });
+
+    await joined.stop();
+    for (const known of own) {
+      const isGone = async () =>
+        (await listMembers(known.address)).every(({ id, state }) =>
+          id !== settings.id || state === "leaving"
+        );
+      expect(await poll(isGone)).toBe(true);
+    }
+  });
+});
--- a/packages/anvilhinge/src/dev/system.ts
+++ b/packages/anvilhinge/src/dev/system.ts
@@ -85,9 +85,11 @@
   all: readonly objects.SettingsObject[],
   half: names.Half,
 ): readonly { readonly failureDomain: string; readonly region: string }[] {
-  return all.flatMap(({ path, content }) =>
+  const ranks = all.flatMap(({ path, content }) =>
     path.half === half && content.kind === "groups" ? content.value.ranks : []
-  ).slice(0, domainCount);
+  );
+  const byName = new Map(ranks.map((rank) => [rank.failureDomain, rank]));
+  return [...byName.values()].slice(0, domainCount);
 }
 
 function startEntries(
