--- a/packages/anvilhinge/src/settings/objects.ts
+++ b/packages/anvilhinge/src/settings/objects.ts
@@ -138,6 +138,17 @@
   water_board: createWeights("water_board"),
 } as const;
 
+/** Schemas of the settings objects by kind; of weights, the association's. */
+export const objectSchemas: Readonly<
+  Record<objectPath.ObjectKind, zod.ZodType>
+> = {
+  workspaces: workspace,
+  services: service,
+  groups: group,
+  models: model,
+  weights: weights.association,
+};
+
 export type Workspace = zod.output<typeof workspace>;
 export type Service = zod.output<typeof service>;
 export type Group = zod.output<typeof group>;
@@ -172,18 +183,9 @@
 }
 
 function selectSchema(path: objectPath.SettingsPath): zod.ZodType {
-  switch (path.kind) {
-    case "workspaces":
-      return workspace;
-    case "services":
-      return service;
-    case "groups":
-      return group;
-    case "models":
-      return model;
-    case "weights":
-      return weights[path.half];
-  }
+  return path.kind === "weights"
+    ? weights[path.half]
+    : objectSchemas[path.kind];
 }
 
 /** Checks one settings object; references are left to `checkSubtree`. */
