--- a/packages/anvilhinge/src/entry/addresses.ts
+++ b/packages/anvilhinge/src/entry/addresses.ts
@@ -27,8 +27,11 @@
 
 export interface AnswerOptions {
   readonly workspace: string;
-  /** Address of the entry that is asked; the answer if it knows nobody. */
-  readonly ownAddress: string;
+  /**
+   * Address of the entry that is asked; the answer if it knows nobody.
+   * Undefined while the entry leaves.
+   */
+  readonly ownAddress?: string;
   /** Failure domain whose entries go first. */
   readonly nearDomain: string;
   readonly random: random.RandomSource;
@@ -40,7 +43,8 @@
   readonly count?: number;
 }
 
-const defaultCount = 3;
+/** Addresses that an answer names at most. */
+export const defaultCount = 3;
 /** Callers come back between 75% and 100% of the time to live. */
 const jitterShare = 0.25;
 
@@ -92,7 +96,9 @@
   const addresses = [...near, ...far].map((member) => member.address);
   const jitter = 1 - jitterShare * options.random();
   return {
-    addresses: addresses.length > 0 ? addresses : [options.ownAddress],
+    addresses: addresses.length > 0 || options.ownAddress === undefined
+      ? addresses
+      : [options.ownAddress],
     ttlMs: Math.round(options.ttlMs * jitter),
   };
 }
--- a/packages/anvilhinge/src/entry/mod.ts
+++ b/packages/anvilhinge/src/entry/mod.ts
@@ -16,18 +16,23 @@
 import * as logger from "../telemetry/logger.ts";
 import * as metrics from "../telemetry/metrics.ts";
 import * as tracing from "../telemetry/tracing.ts";
+import type * as shutdown from "../ports/shutdown.ts";
 import * as agentClient from "./agent_client.ts";
+import * as agentClocks from "./agent_clocks.ts";
 import * as callersHttp from "./callers_http.ts";
 import * as catalog from "./catalog.ts";
+import * as claimStore from "./claim_store.ts";
 import type * as context from "./context.ts";
+import * as controlDuties from "./control_duties.ts";
 import * as controlService from "./control_service.ts";
+import * as movesHttp from "./moves_http.ts";
 import * as gossipClient from "./gossip_client.ts";
 import * as gossipNode from "./gossip_node.ts";
 import * as gossipService from "./gossip_service.ts";
 import * as loadWeight from "./load_weight.ts";
 import * as operatorsHttp from "./operators_http.ts";
-import * as upstreams from "./upstreams.ts";
 import * as view from "./view.ts";
+import * as workPolicy from "./work_policy.ts";
 
 /** Adapters that replace the ones built from the settings. */
 export interface EntryAdapters {
@@ -45,6 +50,8 @@
   stop(): Promise<void>;
   /** Closes at once. */
   kill(): void;
+  /** Requests in progress. */
+  countOpen(): number;
 }
 
 /** Members as the gossip node sees them; empty until it is started. */
@@ -56,12 +63,15 @@
   readonly abort: AbortController;
   readonly instances: instanceList.InstanceList;
   readonly control: controlService.ControlService;
+  readonly duties: controlDuties.ControlDuties;
   readonly peers: gossipClient.GossipClient;
   readonly membersView: MembersView;
 }
 
 const weightIntervalMs = 5_000;
 const drainPollMs = 50;
+/** Longest wait at a stop for outcomes to be recorded. */
+const recordWaitMs = 5_000;
 const platformTimeoutMs = 2_000;
 
 /** Registers the parts of an entry. */
@@ -95,17 +105,49 @@
       })
     ).singleton(),
     catalog: awilix.asFunction(catalog.createCatalog).singleton(),
-    upstreams: awilix.asFunction(({ random }: Parts) =>
-      upstreams.createUpstreamTable({ random })
+    policy: awilix.asFunction((parts: Parts) =>
+      workPolicy.createWorkPolicy({
+        scheduler: parts.scheduler,
+        random: parts.random,
+        logger: parts.logger,
+        metrics: parts.metrics,
+        findLimits: (workspace) =>
+          parts.catalog.findWorkspace(settings.half, workspace)?.settings
+            .limits,
+        listMembers: parts.listMembers,
+        nodeId: settings.id,
+        location: settings,
+        signal: parts.abort.signal,
+      })
     ).singleton(),
+    upstreams: awilix.asFunction(({ policy }: Parts) => policy.upstreams)
+      .singleton(),
     client: awilix.asFunction(({ abort }: Parts) =>
       agentClient.createAgentClient({ signal: abort.signal })
     ).singleton(),
-    control: awilix.asFunction(({ upstreams }: Parts) =>
+    clocks: awilix.asFunction(({ scheduler, client }: Parts) =>
+      agentClocks.createAgentClocks({ clock: scheduler, client })
+    ).singleton(),
+    readWallMs: awilix.asValue(Date.now),
+    claims: awilix.asFunction((parts: Parts) =>
+      claimStore.createClaimStore({
+        store: parts.store,
+        scheduler: parts.scheduler,
+        random: parts.random,
+        readWallMs: parts.readWallMs,
+        half: settings.half,
+        signal: parts.abort.signal,
+      })
+    ).singleton(),
+    control: awilix.asFunction(({ upstreams, duties }: Parts) =>
       controlService.createControlService({
         findAssignment: upstreams.findAssignment,
+        duties,
       })
     ).singleton(),
+    duties: awilix.asFunction((parts: Parts) =>
+      controlDuties.createControlDuties(parts, { signal: parts.abort.signal })
+    ).singleton(),
     logger: awilix.asFunction(() =>
       logger.createLogger({
         part: "entry",
@@ -151,6 +193,7 @@
   );
   app.use(callersHttp.createCallersRouter(parts).routes());
   app.use(operatorsHttp.createOperatorsRouter(parts).routes());
+  app.use(movesHttp.createMovesRouter(parts).routes());
   app.use((koa) => {
     koa.status = 404;
     koa.body = {
@@ -248,6 +291,8 @@
     },
     ...settings.controlAddress,
     signal,
+    onFailure: (call, message) =>
+      logger.warnOnce(call, `Call ${call} failed: ${message}`),
   });
   await new Promise<void>((resolve) => {
     node = startNode(parts, { address, controlAddress, onReady: resolve });
@@ -255,6 +300,7 @@
   });
   state.isReady = true;
   if (node !== undefined) reportWeight(node, parts);
+  parts.duties.start(controlAddress);
   logger.info(`Serves callers on ${address} and agents on ${controlAddress}`);
 
   function wait(delayMs: number): Promise<void> {
@@ -268,24 +314,31 @@
       state.isLeaving = true;
       node?.publishLeaving();
       logger.info("Stops being handed out");
+      await parts.duties.stop();
       await wait(settings.addressAnswerTtlMs);
       state.isClosed = true;
       logger.info(`Finishes ${state.openRequests} requests`);
       while (state.openRequests > 0) await wait(drainPollMs);
+      const recordByMs = scheduler.now() + recordWaitMs;
+      while (parts.claims.countWaiting() > 0 && scheduler.now() < recordByMs) {
+        await wait(drainPollMs);
+      }
       await parts.tracing.stop();
       abort.abort();
       logger.info("Stopped");
     },
     kill: () => abort.abort(),
+    countOpen: () => state.openRequests,
   };
 }
 
 /** Runs an entry until the signal aborts, then stops it gracefully. */
 export async function runEntry(
   settings: process.EntrySettings,
-  options: { readonly signal: AbortSignal },
+  options: shutdown.RunRoleOptions,
 ): Promise<void> {
   const entry = await startEntry(settings);
+  options.onWork?.(() => `${entry.countOpen()} requests`);
   if (!options.signal.aborted) {
     await new Promise((resolve) =>
       options.signal.addEventListener("abort", resolve, { once: true })
--- a/packages/anvilhinge/src/entry/request_checks.ts
+++ b/packages/anvilhinge/src/entry/request_checks.ts
@@ -14,9 +14,14 @@
 /** Names the request; drawn by the entry when the caller names none. */
 export const requestIdHeader = "X-Request-Id";
 
+/** Makes calls that must not run twice one call, however often it is sent. */
+export const idempotencyKeyHeader = "Idempotency-Key";
+
+const maxIdempotencyKeyLength = 256;
 const requestIdPattern = /^[A-Za-z0-9._-]{8,128}$/;
 const maxDeadlineMs = 600_000;
 const tooLargeStatus = 413;
+const tooManyRequestsStatus = 429;
 
 /** A request that is answered with an error. */
 export interface Refused {
@@ -189,3 +194,28 @@
       `Header ${requestIdHeader} must have 8 to 128 characters of A-Z, a-z, 0-9, ".", "_", "-"`,
   });
 }
+
+/**
+ * Qualifies the refusal of a call that may have been sent before: that this
+ * sending did not run says nothing about an earlier one.
+ */
+export function limitRefusal(
+  koa: Koa.Context,
+  error: callerError.CallerError,
+): callerError.CallerError {
+  const isNamed = koa.get(idempotencyKeyHeader) !== "";
+  if (!isNamed || error.status < tooManyRequestsStatus) return error;
+  const message =
+    `${error.message}; this sending did not run, an earlier one may have`;
+  return { ...error, message, ran: "unknown" };
+}
+
+/** Returns the caller's idempotency key; empty when there is none. */
+export function checkIdempotencyKey(koa: Koa.Context): Checked<string> {
+  const value = koa.get(idempotencyKeyHeader);
+  if (value.length <= maxIdempotencyKeyLength) return { kind: "valid", value };
+  return refuse(400, "invalid_header", {
+    message:
+      `Header ${idempotencyKeyHeader} has ${value.length} characters; at most ${maxIdempotencyKeyLength} are allowed`,
+  });
+}
--- a/packages/anvilhinge/src/entry/view.ts
+++ b/packages/anvilhinge/src/entry/view.ts
@@ -49,7 +49,7 @@
       name,
       kind: group.kind,
       serves: group.kind === "model" ? group.model : group.service,
-      ranks: group.ranks.map((rank) => rank.agent),
+      ranks: group.ranks,
     });
   }
 
--- a/packages/coordination/bench/event_queue.ts
+++ b/packages/coordination/bench/event_queue.ts
@@ -2,6 +2,7 @@
 
 /** Queue of callbacks; time moves only inside `run`. */
 export interface EventQueue {
+  /** Returns the present instant in milliseconds. */
   now(): number;
   schedule(callback: () => void, delayMs: number): void;
   /** Runs all callbacks due up to `untilMs`. */
@@ -57,7 +58,11 @@
   return {
     now: () => nowMs,
     schedule(callback, delayMs) {
-      insert({ dueMs: nowMs + delayMs, sequence: sequence++, callback });
+      insert({
+        dueMs: nowMs + Math.max(0, delayMs),
+        sequence: sequence++,
+        callback,
+      });
     },
     run(untilMs) {
       while (heap.length > 0 && heap[0]!.dueMs <= untilMs) {
--- /dev/null
+++ b/packages/coordination/bench/retry_model.ts
@@ -0,0 +1,127 @@
+/** Load that retries add when a third of the upstreams fail. */
+import * as choice from "../src/choice.ts";
+import * as health from "../src/health.ts";
+import * as random from "../src/random.ts";
+import * as retryBudget from "../src/retry_budget.ts";
+import * as eventQueue from "./event_queue.ts";
+
+export interface RetryResult {
+  /** Attempts over requests after the failure. */
+  readonly amplification: number;
+  readonly completedShare: number;
+  /** Longest time from the failure to the ejection of a failed upstream. */
+  readonly ejectionMs: number;
+  /** Failed upstreams that were ejected. */
+  readonly ejected: number;
+  /** Ejections of upstreams that had not failed. */
+  readonly falseEjections: number;
+}
+
+export interface RetryOptions {
+  readonly seed: number;
+  readonly usesBudget: boolean;
+  readonly usesHealth: boolean;
+  /** Share of requests that fail at a sound upstream. */
+  readonly noise: number;
+  /** Share of the upstreams that fail; 1 stands for a shared cause. */
+  readonly failedShare: number;
+}
+
+const upstreamCount = 48;
+const requestIntervalMs = 2;
+const workMs = 200;
+const failMs = 10;
+const failAtMs = 10_000;
+const durationMs = 60_000;
+const maxAttempts = 4;
+
+/** Runs the model once. */
+export function measureRetries(options: RetryOptions): RetryResult {
+  const events = eventQueue.createEventQueue();
+  const source = random.createRandomSource(options.seed);
+  const budget = retryBudget.createRetryBudget({ clock: events });
+  const failed = new Set<string>();
+  const ejectedAtMs = new Map<string, number>();
+  let falseEjections = 0;
+  const checked = health.createHealth({
+    clock: events,
+    random: source,
+    onChange({ kind, upstreamId }) {
+      if (kind !== "ejected") return;
+      if (!failed.has(upstreamId)) falseEjections += 1;
+      else if (!ejectedAtMs.has(upstreamId)) {
+        ejectedAtMs.set(upstreamId, events.now());
+      }
+    },
+  });
+  const members = Array.from({ length: upstreamCount }, (_, index) => ({
+    id: `u${index}`,
+    group: `g${index}`,
+    failureDomain: "d0",
+    region: "r0",
+  }));
+  const chooser = choice.createChooser<choice.Upstream>({
+    clock: events,
+    random: source,
+    nodeId: "n0",
+    location: { failureDomain: "d0", region: "r0" },
+    minSubset: upstreamCount,
+    ...(options.usesHealth
+      ? {
+        isAvailable: checked.isAvailable,
+        computePenalty: checked.computePenalty,
+      }
+      : {}),
+  });
+  chooser.setPool("need", members);
+  checked.setPool("need", {
+    members: members.map((member) => member.id),
+    maxEjectedShare: 0.5,
+  });
+  const counts = { requests: 0, attempts: 0, completed: 0 };
+
+  function sendAttempt(tried: Set<string>, isCounted: boolean): void {
+    const outcome = chooser.choose("need", { tried });
+    if (outcome.kind !== "chosen") return;
+    const { id } = outcome.upstream;
+    tried.add(id);
+    if (isCounted) counts.attempts += 1;
+    const sentAtMs = events.now();
+    chooser.recordSent(id);
+    checked.recordSent(id);
+    const isFailing = failed.has(id) || source() < options.noise;
+    events.schedule(() => {
+      chooser.recordEnded(id, { sentAtMs, isCompleted: !isFailing });
+      checked.recordOutcome(id, isFailing ? "failed" : "completed");
+      if (!isFailing) {
+        if (isCounted) counts.completed += 1;
+        return;
+      }
+      if (tried.size >= maxAttempts) return;
+      if (!options.usesBudget || budget.take()) sendAttempt(tried, isCounted);
+    }, isFailing ? failMs : workMs);
+  }
+
+  function handleArrival(): void {
+    events.schedule(handleArrival, requestIntervalMs);
+    budget.recordRequest();
+    const isCounted = events.now() >= failAtMs;
+    if (isCounted) counts.requests += 1;
+    sendAttempt(new Set(), isCounted);
+  }
+
+  handleArrival();
+  events.schedule(() => {
+    const count = Math.round(upstreamCount * options.failedShare);
+    for (const member of members.slice(0, count)) failed.add(member.id);
+  }, failAtMs);
+  events.run(durationMs);
+  const times = [...ejectedAtMs.values()].map((atMs) => atMs - failAtMs);
+  return {
+    amplification: counts.attempts / counts.requests,
+    completedShare: counts.completed / counts.requests,
+    ejectionMs: Math.max(0, ...times),
+    ejected: ejectedAtMs.size,
+    falseEjections,
+  };
+}
