--- /dev/null
+++ b/packages/coordination/src/maps/mod.ts
@@ -0,0 +1,6 @@
+/** Expert maps: their rounds of switching, estimates of load, and planning. */
+export * as expertMap from "./expert_map.ts";
+export * as mapSchedule from "./map_schedule.ts";
+export * as roundLeader from "./round_leader.ts";
+export * as roundMessages from "./round_messages.ts";
+export * as roundRank from "./round_rank.ts";
--- /dev/null
+++ b/packages/coordination/src/maps/round_liveness_test.ts
@@ -0,0 +1,149 @@
+import * as random from "../random.ts";
+import * as mapRounds from "../testing/map_rounds.ts";
+
+const rankCount = 8;
+const seeds = [1, 2, 3, 4, 5, 6, 7, 8];
+
+const budgets: mapRounds.Budgets = {
+  restarts: 0,
+  agentRestarts: 0,
+  proposals: [20],
+  lostAnswers: 0,
+  deadlines: 0,
+  resends: 1_000,
+  duplicates: 0,
+};
+
+const promptKinds = ["finish_staging", "read_record", "answer_read"];
+const writeKinds = ["apply_write", "answer_write"];
+
+interface Drive {
+  readonly model: mapRounds.RoundModel;
+  readonly stepCount: number;
+  /** Share of messages that are lost. */
+  readonly lossShare: number;
+  readonly draw: random.RandomSource;
+  /** Called once before each step. */
+  readonly disturb?: (
+    state: mapRounds.ModelState,
+    step: number,
+  ) => mapRounds.ModelState;
+}
+
+interface Run {
+  readonly end: mapRounds.ModelState;
+  /** Rounds of messages in which no rank could run its step. */
+  readonly stalledSteps: number;
+}
+
+/** Delivers each message, or loses it, one step after it was sent. */
+function driveSteps({ model, disturb, draw, ...options }: Drive): Run {
+  let state = model.initial;
+  let stalledSteps = 0;
+  for (let step = 0; step < options.stepCount; step += 1) {
+    state = disturb?.(state, step) ?? state;
+    const { packets, writes, nextSteps } = state;
+    for (const packet of packets) {
+      const delivered = model.apply(state, { kind: "deliver", packet });
+      const isLost = draw() < options.lossShare;
+      state = isLost
+        ? {
+          ...state,
+          packets: state.packets.filter((sent) => sent !== packet),
+        }
+        : delivered;
+    }
+    for (const action of model.listActions(state)) {
+      const isDue = promptKinds.includes(action.kind) ||
+        ("write" in action && writeKinds.includes(action.kind) &&
+          writes.includes(action.write));
+      if (isDue) state = model.apply(state, action);
+    }
+    for (const action of model.listActions(state)) {
+      if (action.kind === "step") state = model.apply(state, action);
+    }
+    if (step % 3 === 2) {
+      state = model.apply(state, { kind: "resend", leader: 0 });
+    }
+    const hasMoved = state.nextSteps.some((next, rank) =>
+      next > nextSteps[rank]!
+    );
+    if (!hasMoved) stalledSteps += 1;
+  }
+  return { end: state, stalledSteps };
+}
+
+function createModel(marginSteps: number): mapRounds.RoundModel {
+  return mapRounds.createRoundModel({
+    rankCount,
+    marginSteps,
+    stepLimit: 1_000,
+    hasBarrier: true,
+    budgets: { ...budgets, restarts: 1 },
+  });
+}
+
+function propose(
+  state: mapRounds.ModelState,
+  model: mapRounds.RoundModel,
+): mapRounds.ModelState {
+  if (state.leaders[0]!.phase !== "idle") return state;
+  return model.apply(state, { kind: "propose", leader: 0 });
+}
+
+describe("a switch of eight ranks whose messages take one step", () => {
+  test("stalls no step when the margin covers the round trip", () => {
+    const model = createModel(6);
+    const run = driveSteps({
+      model,
+      stepCount: 40,
+      lossShare: 0,
+      draw: random.createRandomSource(1),
+      disturb: (state, step) => step === 5 ? propose(state, model) : state,
+    });
+    expect(run.end.used.at(-1)).toBe(1);
+    expect(run.stalledSteps).toBe(0);
+    expect(run.end.violation).toBeUndefined();
+  });
+
+  test.each(seeds)(
+    "ends in a few attempts although a third of messages is lost, seed %d",
+    (seed) => {
+      const model = createModel(12);
+      const run = driveSteps({
+        model,
+        stepCount: 400,
+        lossShare: 1 / 3,
+        draw: random.createRandomSource(seed),
+        disturb: (state, step) =>
+          step % 30 === 5 && state.used.at(-1) === 0
+            ? propose(state, model)
+            : state,
+      });
+      expect(run.end.used.at(-1)).toBe(1);
+      expect(Math.min(...run.end.nextSteps)).toBeGreaterThan(200);
+      expect(run.end.violation).toBeUndefined();
+    },
+  );
+
+  test.each([6, 8, 10, 12, 14, 16, 18])(
+    "goes on after a rank restarts at step %d",
+    (restartStep) => {
+      const model = createModel(6);
+      const run = driveSteps({
+        model,
+        stepCount: 120,
+        lossShare: 0,
+        draw: random.createRandomSource(1),
+        disturb(state, step) {
+          const action = { kind: "restart_rank", rank: 3 } as const;
+          if (step === restartStep) return model.apply(state, action);
+          return step === 5 ? propose(state, model) : state;
+        },
+      });
+      expect(Math.min(...run.end.nextSteps)).toBeGreaterThan(80);
+      expect(new Set(run.end.ranks.map(({ epoch }) => epoch)).size).toBe(1);
+      expect(run.end.violation).toBeUndefined();
+    },
+  );
+});
--- /dev/null
+++ b/packages/coordination/src/maps/round_rank.ts
@@ -0,0 +1,215 @@
+/**
+ * A rank's side of map rounds as a state machine: message or engine event in,
+ * effects out.
+ *
+ * Rules that make a switch safe:
+ * - A rank that reported `prepared` does not run the step of its promise until
+ *   it hears the decision, or is settled by a newer epoch.
+ * - After a restart a rank reads the record and obeys only epochs above the one
+ *   it finds, because a promise it has forgotten belongs to that epoch or an
+ *   older one, and the claim of a newer epoch fences their decisions.
+ */
+import * as mapSchedule from "./map_schedule.ts";
+import type * as roundMessages from "./round_messages.ts";
+
+/** State of one rank; plain data. */
+export interface RankState {
+  readonly rank: number;
+  readonly phase: roundMessages.RankPhase;
+  readonly epoch: number | undefined;
+  readonly schedule: mapSchedule.MapSchedule | undefined;
+  readonly staged: mapSchedule.VersionedMap | undefined;
+  readonly step: number | undefined;
+  readonly isInstalled: boolean;
+}
+
+export type RankEvent =
+  | roundMessages.LeaderMessage
+  /** The record was read; epoch 0 when there is none. */
+  | { readonly kind: "record_read"; readonly epoch: number }
+  | { readonly kind: "staged"; readonly epoch: number }
+  | { readonly kind: "stage_failed"; readonly epoch: number }
+  | { readonly kind: "held"; readonly epoch: number }
+  | { readonly kind: "hold_missed"; readonly epoch: number }
+  | { readonly kind: "installed"; readonly epoch: number }
+  /** The engine lost its state. */
+  | { readonly kind: "engine_restarted" };
+
+export type RankEffect =
+  | { readonly kind: "read_record" }
+  /** Load the weights of the map's experts; then `staged` or `stage_failed`. */
+  | {
+    readonly kind: "stage";
+    readonly epoch: number;
+    readonly next: mapSchedule.VersionedMap;
+  }
+  /** Hold the engine before a step; then `held` or `hold_missed`. */
+  | { readonly kind: "hold"; readonly epoch: number; readonly step: number }
+  /** Replace the engine's schedule and release it; then `installed`. */
+  | {
+    readonly kind: "install";
+    readonly epoch: number;
+    readonly schedule: mapSchedule.MapSchedule;
+  }
+  /** Send the present report to whoever sent the message. */
+  | { readonly kind: "reply" };
+
+export interface RankResult {
+  readonly state: RankState;
+  readonly effects: readonly RankEffect[];
+}
+
+const reply: RankEffect = { kind: "reply" };
+
+/** Returns the state of a rank that starts, with its first effects. */
+export function startRank(rank: number): RankResult {
+  const state: RankState = {
+    rank,
+    phase: "recovering",
+    epoch: undefined,
+    schedule: undefined,
+    staged: undefined,
+    step: undefined,
+    isInstalled: false,
+  };
+  return { state, effects: [{ kind: "read_record" }] };
+}
+
+/** Describes a rank to a leader. */
+export function buildReport(
+  state: RankState,
+  nextStep: number,
+): roundMessages.RankReport {
+  const { rank, phase, epoch, isInstalled } = state;
+  return { rank, phase, epoch, isInstalled, nextStep };
+}
+
+/** Handles one event. */
+export function advanceRank(state: RankState, event: RankEvent): RankResult {
+  switch (event.kind) {
+    case "ask":
+      return { state, effects: [reply] };
+    case "settle":
+      return settle(state, event);
+    case "record_read":
+      return readRecord(state, event.epoch);
+    case "engine_restarted":
+      return startRank(state.rank);
+    default:
+      return event.epoch === state.epoch
+        ? advanceRound(state, event)
+        : { state, effects: isMessage(event) ? [reply] : [] };
+  }
+}
+
+type RoundEvent = Exclude<
+  RankEvent,
+  { readonly kind: "ask" | "settle" | "record_read" | "engine_restarted" }
+>;
+
+function isMessage({ kind }: RoundEvent): boolean {
+  return kind === "stage" || kind === "prepare" || kind === "commit" ||
+    kind === "abort";
+}
+
+function readRecord(state: RankState, epoch: number): RankResult {
+  const isWaiting = state.phase === "recovering" && state.epoch === undefined;
+  if (!isWaiting) return { state, effects: [] };
+  return { state: { ...state, epoch }, effects: [] };
+}
+
+function settle(
+  state: RankState,
+  { epoch, schedule }: {
+    readonly epoch: number;
+    readonly schedule: mapSchedule.MapSchedule;
+  },
+): RankResult {
+  const isNewer = state.epoch !== undefined && epoch > state.epoch;
+  if (!isNewer) return { state, effects: [reply] };
+  return install({
+    ...state,
+    phase: "settled",
+    epoch,
+    staged: undefined,
+    step: undefined,
+  }, schedule);
+}
+
+function install(
+  state: RankState,
+  schedule: mapSchedule.MapSchedule,
+): RankResult {
+  return {
+    state: { ...state, schedule, isInstalled: false },
+    effects: [{ kind: "install", epoch: state.epoch!, schedule }],
+  };
+}
+
+/** Handles an event of the rank's own epoch. */
+function advanceRound(state: RankState, event: RoundEvent): RankResult {
+  switch (event.kind) {
+    case "stage": {
+      if (state.phase !== "settled") return { state, effects: [reply] };
+      const { epoch, next } = event;
+      return {
+        state: { ...state, phase: "staging", staged: next },
+        effects: [{ kind: "stage", epoch, next }],
+      };
+    }
+    case "prepare": {
+      if (state.phase !== "staged") return { state, effects: [reply] };
+      const { epoch, step } = event;
+      return {
+        state: { ...state, phase: "holding", step },
+        effects: [{ kind: "hold", epoch, step }],
+      };
+    }
+    case "commit":
+      return applyDecision(state);
+    case "abort":
+      return abort(state);
+    case "staged":
+      return movePhase(state, { from: "staging", to: "staged" });
+    case "stage_failed":
+      return movePhase(state, { from: "staging", to: "refused" });
+    case "held":
+      return movePhase(state, { from: "holding", to: "prepared" });
+    case "hold_missed":
+      return movePhase(state, { from: "holding", to: "refused" });
+    case "installed":
+      if (state.phase === "recovering") return { state, effects: [] };
+      return { state: { ...state, isInstalled: true }, effects: [reply] };
+  }
+}
+
+function movePhase(
+  state: RankState,
+  { from, to }: {
+    readonly from: roundMessages.RankPhase;
+    readonly to: roundMessages.RankPhase;
+  },
+): RankResult {
+  if (state.phase !== from) return { state, effects: [] };
+  return { state: { ...state, phase: to }, effects: [reply] };
+}
+
+function applyDecision(state: RankState): RankResult {
+  const { schedule, staged, step } = state;
+  if (state.phase !== "prepared") return { state, effects: [reply] };
+  if (schedule === undefined || staged === undefined || step === undefined) {
+    throw new Error(`Rank ${state.rank} is prepared without a map or a step`);
+  }
+  return install({ ...state, phase: "committed" }, {
+    base: mapSchedule.getLatestMap(schedule),
+    next: { ...staged, fromStep: step },
+  });
+}
+
+function abort(state: RankState): RankResult {
+  const { phase, schedule } = state;
+  const isOver = phase === "recovering" || phase === "committed" ||
+    phase === "aborted";
+  if (isOver || schedule === undefined) return { state, effects: [reply] };
+  return install({ ...state, phase: "aborted" }, schedule);
+}
--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -5,5 +5,6 @@
  */
 export * as assignment from "./assignment.ts";
 export * as clock from "./clock.ts";
+export * as maps from "./maps/mod.ts";
 export * as random from "./random.ts";
 export * as rendezvous from "./rendezvous.ts";
