--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -19,6 +19,7 @@
 export * as lease from "./lease.ts";
 export * as leaseDriver from "./lease_driver.ts";
 export * as leaseRecord from "./lease_record.ts";
+export * as maps from "./maps/mod.ts";
 export * as membership from "./membership.ts";
 export * as random from "./random.ts";
 export * as rendezvous from "./rendezvous.ts";
