--- a/packages/anvilhinge/src/entry/callers_http.ts
+++ b/packages/anvilhinge/src/entry/callers_http.ts
@@ -1,4 +1,5 @@
 /** Callers' HTTP: chat completions, models, services and address answers. */
+import * as net from "node:net";
 import Router from "@koa/router";
 import type Koa from "koa";
 import type * as objects from "../settings/objects.ts";
@@ -152,6 +153,8 @@
     );
     const answer = addresses.buildAddressAnswer(members, {
       workspace: workspace.value.id,
+      ownAddress: entry.state.isLeaving ? undefined : describeOwnAddress(koa),
+      nearDomain: readNearDomain(koa) ?? entry.settings.failureDomain,
       random: entry.random,
       ttlMs: entry.settings.addressAnswerTtlMs,
     });
@@ -233,3 +236,15 @@
   const methods: readonly string[] = service.repeatableMethods;
   return methods.includes(call.method) && !isExcluded;
 }
+
+/** Address that the caller has reached this entry at. */
+function describeOwnAddress(koa: Koa.Context): string {
+  const { localAddress = "", localPort = 0 } = koa.req.socket;
+  const host = net.isIPv6(localAddress) ? `[${localAddress}]` : localAddress;
+  return `${host}:${localPort}`;
+}
+
+function readNearDomain(koa: Koa.Context): string | undefined {
+  const domain = koa.query.failure_domain;
+  return typeof domain === "string" ? domain : undefined;
+}
