--- a/packages/anvilhinge/src/entry/work_policy.ts
+++ b/packages/anvilhinge/src/entry/work_policy.ts
@@ -143,6 +143,7 @@
     const prefixKeys = computePrefixKeys(request, need);
     const isWatched = need.kind === "model";
     let open: OpenAttempt | undefined;
+    let isEngineDown = false;
     budget.recordRequest();
 
     function endAttempt(outcome: Omit<upstreams.Outcome, "sentAtMs">): void {
@@ -160,6 +161,10 @@
         ...stream,
         onFrame(frame) {
           if (open !== undefined) watch.recordProgress(open.upstreamId);
+          const { body } = frame;
+          // The agent lives and its engine does not: no sign of health.
+          isEngineDown = body.kind === "refused" &&
+            body.reason === "engine_unavailable";
           if (isWatched && frame.body.kind === "chunk") {
             workspaces.recordTokens(request.workspace, 1);
           }
@@ -184,7 +189,7 @@
       },
       recordOutcome({ upstream, outcome, load }) {
         if (open?.upstreamId === upstream.id) {
-          endAttempt({ kind: outcome, load });
+          endAttempt({ kind: isEngineDown ? "failed" : outcome, load });
           return;
         }
         // A resumed answer: another entry dispatched the attempt.
