--- /dev/null
+++ b/packages/anvilhinge/src/matrix/golden.ts
@@ -0,0 +1,83 @@
+/**
+ * Records whole sessions as text: each message between the processes, and each
+ * event and effect of the session's state machine, on a manual clock.
+ */
+import type * as session from "../entry/session.ts";
+import type * as steps from "./steps.ts";
+import * as world from "./world.ts";
+
+export interface GoldenSession {
+  readonly session: world.SessionName;
+  readonly planned: readonly steps.PlannedFault[];
+}
+
+interface EncodedBuffer {
+  readonly type: "Buffer";
+  readonly data: readonly number[];
+}
+
+function isEncodedBuffer(value: unknown): value is EncodedBuffer {
+  return typeof value === "object" && value !== null &&
+    (value as Partial<EncodedBuffer>).type === "Buffer";
+}
+
+/** Shows bytes as their text. */
+function formatValue(_key: string, value: unknown): unknown {
+  if (value instanceof Uint8Array) return Buffer.from(value).toString("utf8");
+  return isEncodedBuffer(value)
+    ? Buffer.from(value.data).toString("utf8")
+    : value;
+}
+
+function wrapSession(
+  machine: session.Session,
+  record: (line: string) => void,
+): session.Session {
+  return {
+    ...machine,
+    handle(event) {
+      record(`  event  ${JSON.stringify(event, formatValue)}`);
+      const effects = machine.handle(event);
+      for (const effect of effects) {
+        record(`  effect ${JSON.stringify(effect, formatValue)}`);
+      }
+      return effects;
+    },
+  };
+}
+
+/**
+ * Runs a session under its planned faults; returns one line for each step.
+ * Throws when a planned step was not reached.
+ */
+export async function recordSession(
+  { session: name, planned }: GoldenSession,
+): Promise<string> {
+  const lines: string[] = [];
+  const result = await world.runWorld({
+    session: name,
+    planned,
+    variant: {
+      wrapSession: (machine) =>
+        wrapSession(machine, (line) => lines.push(line)),
+    },
+    onMessage: ({ atMs, what, name }) =>
+      void lines.push(`${atMs} ms ${what} ${name}`),
+  });
+  for (const { step } of planned) {
+    if (result.steps.includes(step)) continue;
+    throw new Error(
+      `Step "${step}" was not reached; reached: ${result.steps.join(", ")}`,
+    );
+  }
+  lines.push(`starts ${JSON.stringify(result.starts)}`);
+  lines.push(`effects ${JSON.stringify(result.effects)}`);
+  lines.push(`caller ${JSON.stringify(result.sends, formatValue)}`);
+  return lines.join("\n");
+}
+
+/** Formats the name of a recorded session. */
+export function formatName({ session: name, planned }: GoldenSession): string {
+  const faults = planned.map(({ fault, step }) => `${fault} at ${step}`);
+  return `${name}, ${faults.join(", ") || "no fault"}`;
+}
--- a/packages/anvilhinge/src/matrix/network.ts
+++ b/packages/anvilhinge/src/matrix/network.ts
@@ -10,6 +10,8 @@
   readonly plan: steps.Plan;
   /** Called for faults that do not concern the message itself. */
   readonly onFault: (fault: steps.Fault) => void;
+  /** Called as a message leaves and as each copy of it arrives. */
+  readonly onMessage?: (what: "sent" | "arrived", name: string) => void;
 }
 
 /** One-way delay in milliseconds. */
@@ -32,9 +34,13 @@
 
   return (name, deliver) => {
     const faults = options.plan.reach(name);
+    options.onMessage?.("sent", name);
     for (const fault of faults) options.onFault(fault);
     for (const delayMs of listDelays(faults)) {
-      options.scheduler.schedule(deliver, { delayMs });
+      options.scheduler.schedule(() => {
+        options.onMessage?.("arrived", name);
+        deliver();
+      }, { delayMs });
     }
   };
 }
--- a/packages/anvilhinge/src/matrix/world.ts
+++ b/packages/anvilhinge/src/matrix/world.ts
@@ -35,6 +35,14 @@
   readonly session: SessionName;
   readonly planned: readonly steps.PlannedFault[];
   readonly variant?: entryNode.Variant;
+  /** Called at each message, with the instant in milliseconds. */
+  readonly onMessage?: (
+    message: {
+      readonly atMs: number;
+      readonly what: "sent" | "arrived";
+      readonly name: string;
+    },
+  ) => void;
 }
 
 /** What happened, once everything has come to rest. */
@@ -80,6 +88,8 @@
     scheduler: timers,
     plan,
     onFault: applyFault,
+    onMessage: (what, name) =>
+      options.onMessage?.({ atMs: timers.now(), what, name }),
   });
   const agents = Array.from({ length: upstreamCount }, (_, index) => {
     const agent = agentNode.createAgentNode({
