--- a/packages/anvilhinge/src/dev/caller.ts
+++ b/packages/anvilhinge/src/dev/caller.ts
@@ -20,6 +20,8 @@
     readonly kind: "refused";
     readonly status: number;
     readonly code: string;
+    /** Whether the request had any effect: `no`, `yes` or `unknown`. */
+    readonly ran: string;
     readonly message: string;
   };
 
@@ -36,7 +38,11 @@
 }
 
 interface ErrorBody {
-  readonly error?: { readonly code?: string; readonly message?: string };
+  readonly error?: {
+    readonly code?: string;
+    readonly ran?: string;
+    readonly message?: string;
+  };
 }
 
 const endOfStream = "[DONE]";
@@ -85,6 +91,7 @@
         kind: "refused",
         status: response.statusCode,
         code: body.error?.code ?? "",
+        ran: body.error?.ran ?? "",
         message: body.error?.message ?? "",
       };
     }
--- a/packages/anvilhinge/src/entry/upstreams.ts
+++ b/packages/anvilhinge/src/entry/upstreams.ts
@@ -191,6 +191,30 @@
     }
   }
 
+  function isHalfOpen(upstreamId: string): boolean {
+    return health.getState(upstreamId).kind === "half_open";
+  }
+
+  /**
+   * Chooses as the chooser does, but leaves probes of half-open upstreams to
+   * first attempts: one request that probes several in a row would use up its
+   * attempts on upstreams that are likely to fail.
+   */
+  function chooseForAttempt(
+    pool: string,
+    options: choice.ChooseOptions,
+  ): choice.ChoiceOutcome<Known> {
+    const first = chooser.choose(pool, options);
+    if (options.tried.size === 0) return first;
+    const avoided = new Set(options.tried);
+    let outcome = first;
+    while (outcome.kind === "chosen" && isHalfOpen(outcome.upstream.id)) {
+      avoided.add(outcome.upstream.id);
+      outcome = chooser.choose(pool, { ...options, tried: avoided });
+    }
+    return outcome.kind === "exhausted" ? first : outcome;
+  }
+
   return {
     setGroup(spec) {
       groups.set(spec.name, spec);
@@ -209,7 +233,7 @@
     choose(need, chooseOptions) {
       const pool = formatNeed(need);
       updatePool(pool);
-      const outcome = chooser.choose(pool, chooseOptions);
+      const outcome = chooseForAttempt(pool, chooseOptions);
       return outcome.kind === "chosen"
         ? { kind: "chosen", upstream: outcome.upstream }
         : describeNone(need, outcome);
