--- /dev/null
+++ b/packages/anvilhinge/src/entry/drains_http.ts
@@ -0,0 +1,78 @@
+/** Operators' HTTP to take an entry out of the address answers before a stop. */
+import * as crypto from "node:crypto";
+import Router from "@koa/router";
+import coBody from "co-body";
+import type Koa from "koa";
+import * as zod from "zod";
+import * as jsonLines from "../adapters/json_lines.ts";
+import * as names from "../settings/names.ts";
+import type * as context from "./context.ts";
+import * as operatorAnswer from "./operator_answer.ts";
+
+const orderSchema = zod.strictObject({ instance: names.name });
+const bodyLimitBytes = 4_096;
+
+export interface DrainsOptions {
+  readonly entry: Pick<
+    context.EntryContext,
+    "settings" | "state" | "logger" | "listMembers"
+  >;
+  /** Tells the other entries that this one leaves. */
+  readonly publishLeaving: () => void;
+}
+
+/** Creates the route `POST /drains`; it acts on the entry that is asked. */
+export function createDrainsRouter(options: DrainsOptions): Router {
+  const router = new Router();
+  const { settings, state, logger, listMembers } = options.entry;
+
+  function hasToken(koa: Koa.Context): boolean {
+    const token = koa.get("Authorization").replace(/^Bearer /, "");
+    const digest = crypto.createHash("sha256").update(token).digest();
+    const matches = settings.operators.filter(({ tokenSha256 }) =>
+      crypto.timingSafeEqual(digest, Buffer.from(tokenSha256, "hex"))
+    );
+    return matches.length > 0;
+  }
+
+  function describeOther(instance: string): string {
+    const member = listMembers().find(({ id }) => id === instance);
+    return member === undefined
+      ? `"${instance}" is not a live entry of ${settings.half}; an agent drains at SIGTERM`
+      : `This is ${settings.id}; ask "${instance}" itself at ${member.address}`;
+  }
+
+  async function handlePost(koa: Koa.Context): Promise<void> {
+    if (!hasToken(koa)) {
+      return operatorAnswer.writeError(koa, 403, {
+        code: "forbidden",
+        message: "The token is not one of an operator of this entry",
+      });
+    }
+    const text = await coBody.text(koa.req, { limit: bodyLimitBytes });
+    const order = jsonLines.parseJson(text, orderSchema)?.value;
+    if (order === undefined) {
+      return operatorAnswer.writeError(koa, 400, {
+        code: "invalid_request",
+        message: `Expected a body such as {"instance":"${settings.id}"}`,
+      });
+    }
+    if (order.instance !== settings.id) {
+      return operatorAnswer.writeError(koa, 404, {
+        code: "not_this_instance",
+        message: describeOther(order.instance),
+      });
+    }
+    state.isLeaving = true;
+    options.publishLeaving();
+    logger.info("Stops being handed out, as an operator asked");
+    koa.body = {
+      outcome: "accepted",
+      instance: settings.id,
+      openRequests: state.openRequests,
+    };
+  }
+
+  router.post("/drains", handlePost);
+  return router;
+}
--- a/packages/anvilhinge/src/entry/mod.ts
+++ b/packages/anvilhinge/src/entry/mod.ts
@@ -26,6 +26,7 @@
 import * as controlDuties from "./control_duties.ts";
 import * as controlService from "./control_service.ts";
 import * as movesHttp from "./moves_http.ts";
+import * as drainsHttp from "./drains_http.ts";
 import * as gossipClient from "./gossip_client.ts";
 import * as gossipNode from "./gossip_node.ts";
 import * as gossipService from "./gossip_service.ts";
@@ -57,6 +58,7 @@
 /** Members as the gossip node sees them; empty until it is started. */
 interface MembersView {
   list: context.EntryContext["listMembers"];
+  publishLeaving: () => void;
 }
 
 interface Parts extends context.EntryContext {
@@ -169,7 +171,10 @@
       isClosed: false,
       openRequests: 0,
     }),
-    membersView: awilix.asValue<MembersView>({ list: () => [] }),
+    membersView: awilix.asValue<MembersView>({
+      list: () => [],
+      publishLeaving: () => {},
+    }),
     listMembers: awilix.asFunction(({ membersView }: Parts) => () =>
       membersView.list()
     ).singleton(),
@@ -194,6 +199,11 @@
   app.use(callersHttp.createCallersRouter(parts).routes());
   app.use(operatorsHttp.createOperatorsRouter(parts).routes());
   app.use(movesHttp.createMovesRouter(parts).routes());
+  const drains = drainsHttp.createDrainsRouter({
+    entry: parts,
+    publishLeaving: () => parts.membersView.publishLeaving(),
+  });
+  app.use(drains.routes());
   app.use((koa) => {
     koa.status = 404;
     koa.body = {
@@ -297,6 +307,7 @@
   await new Promise<void>((resolve) => {
     node = startNode(parts, { address, controlAddress, onReady: resolve });
     parts.membersView.list = node.listMembers;
+    parts.membersView.publishLeaving = node.publishLeaving;
   });
   state.isReady = true;
   if (node !== undefined) reportWeight(node, parts);
--- a/packages/anvilhinge/src/entry/operators_http.ts
+++ b/packages/anvilhinge/src/entry/operators_http.ts
@@ -51,6 +51,13 @@
   }
 
   function getStatus(koa: Koa.Context): void {
+    if ("maps" in koa.query) {
+      return operatorAnswer.writeError(koa, 501, {
+        code: "not_available",
+        message:
+          "This version plans expert maps in its library only and switches none; see docs/design/expert_maps.md",
+      });
+    }
     const { id, half, failureDomain } = entry.settings;
     koa.body = {
       instance: { id, half, failureDomain },
