--- a/packages/anvilhinge/src/ports/object_store.ts
+++ b/packages/anvilhinge/src/ports/object_store.ts
@@ -3,24 +3,12 @@
  * keys, conditional updates and watches. Versions are positive integers that
  * rise over the whole store, so a later write of any key has a higher version.
  */
+import type * as versionedStore from "@anvilhinge/coordination/versioned_store";
 
-/** Value of one key at one version. */
-export interface StoredObject {
-  readonly key: string;
-  readonly value: unknown;
-  readonly version: number;
-}
-
-/** The store could not be asked or did not answer; a read has no effect. */
-export interface Unavailable {
-  readonly kind: "unavailable";
-  readonly message: string;
-}
-
-export type ReadOutcome =
-  | { readonly kind: "found"; readonly object: StoredObject }
-  | { readonly kind: "missing" }
-  | Unavailable;
+export type StoredObject = versionedStore.StoredObject;
+export type Unavailable = versionedStore.Unavailable;
+export type ReadOutcome = versionedStore.ReadOutcome;
+export type WriteOutcome = versionedStore.WriteOutcome;
 
 export type ListOutcome =
   | {
@@ -31,15 +19,6 @@
   }
   | Unavailable;
 
-export type WriteOutcome =
-  | { readonly kind: "accepted"; readonly version: number }
-  /** The condition did not hold; nothing was written. */
-  | { readonly kind: "conflict"; readonly current?: StoredObject }
-  /** The store refused before any effect. */
-  | Unavailable
-  /** The answer was lost: the write may have taken effect, or may yet do so. */
-  | { readonly kind: "unknown"; readonly message: string };
-
 /** Condition of a write: the version that the key must have; 0 = must not exist. */
 export interface WriteCondition {
   readonly ifVersion: number;
@@ -60,14 +39,8 @@
 }
 
 /** Client of the object API. No method throws for a fault of the store. */
-export interface ObjectStore {
-  read(key: string): Promise<ReadOutcome>;
+export interface ObjectStore extends versionedStore.VersionedStore {
   list(prefix: string): Promise<ListOutcome>;
-  write(
-    key: string,
-    value: unknown,
-    condition: WriteCondition,
-  ): Promise<WriteOutcome>;
   remove(key: string, condition: WriteCondition): Promise<WriteOutcome>;
   watch(prefix: string, options: WatchOptions): void;
 }
