--- a/packages/anvilhinge/src/agent/mod.ts
+++ b/packages/anvilhinge/src/agent/mod.ts
@@ -29,6 +29,8 @@
   readonly engine?: engine.Engine;
   readonly store?: objectStore.ObjectStore;
   readonly logStream?: NodeJS.WritableStream;
+  /** Further takers of spans; tests pass a recorder's. */
+  readonly spanProcessors?: tracing.TracingOptions["spanProcessors"];
 }
 
 /** An agent that is running. */
@@ -148,6 +150,7 @@
         role: "agent",
         instanceId: settings.id,
         settings: settings.tracing,
+        spanProcessors: adapters.spanProcessors,
       })
     ).singleton(),
   });
--- a/packages/anvilhinge/src/dev/system.ts
+++ b/packages/anvilhinge/src/dev/system.ts
@@ -47,6 +47,8 @@
   readonly operators?: process.EntrySettings["operators"];
   /** @default 1000 */
   readonly addressAnswerTtlMs?: number;
+  /** Takers of the spans of all entries and agents. */
+  readonly spanProcessors?: entry.EntryAdapters["spanProcessors"];
 }
 
 /** An entry and the half that it serves. */
@@ -203,6 +205,7 @@
     store,
     instances: createInstanceList(() => entries),
     logStream: options.logStream,
+    spanProcessors: options.spanProcessors,
   });
   const groups: upstreams.RunningGroup[] = [];
   for (const object of options.objects) {
@@ -218,6 +221,7 @@
         stepMs: options.stepMs ?? defaultStepMs,
         logLevel: options.logLevel ?? "warn",
         logStream: options.logStream,
+        spanProcessors: options.spanProcessors,
         platform: localPlatform,
         store,
       }),
--- a/packages/anvilhinge/src/dev/upstreams.ts
+++ b/packages/anvilhinge/src/dev/upstreams.ts
@@ -35,6 +35,7 @@
   readonly stepMs: number;
   readonly logLevel: process.LogLevel;
   readonly logStream?: NodeJS.WritableStream;
+  readonly spanProcessors?: agent.AgentAdapters["spanProcessors"];
   readonly platform: system.PlatformAddresses;
   readonly store: objectStore.ObjectStore;
 }
--- a/packages/anvilhinge/src/entry/mod.ts
+++ b/packages/anvilhinge/src/entry/mod.ts
@@ -40,6 +40,8 @@
   readonly store?: objectStore.ObjectStore;
   readonly instances?: instanceList.InstanceList;
   readonly logStream?: NodeJS.WritableStream;
+  /** Further takers of spans; tests pass a recorder's. */
+  readonly spanProcessors?: tracing.TracingOptions["spanProcessors"];
 }
 
 /** An entry that is running. */
@@ -163,6 +165,7 @@
         role: "entry",
         instanceId: settings.id,
         settings: settings.tracing,
+        spanProcessors: adapters.spanProcessors,
       })
     ).singleton(),
     state: awilix.asValue<context.EntryState>({
--- a/scripts/demo.ts
+++ b/scripts/demo.ts
@@ -103,6 +103,7 @@
     random: random.createRandomSource(seed),
     signal: abort.signal,
     addressAnswerTtlMs: 200,
+    logLevel: "error",
   });
   const options = {
     system: running,
