--- a/packages/anvilhinge/src/dev/upstreams.ts
+++ b/packages/anvilhinge/src/dev/upstreams.ts
@@ -110,7 +110,11 @@
         },
         tracing: { exporter: "none" },
         log: { level: options.logLevel },
-      }, { logStream: options.logStream, store: options.store })
+      }, {
+        logStream: options.logStream,
+        spanProcessors: options.spanProcessors,
+        store: options.store,
+      })
     ),
   );
   return { name, agents, ...standIn };
