--- a/packages/anvilhinge/src/agent/mod.ts
+++ b/packages/anvilhinge/src/agent/mod.ts
@@ -187,6 +187,10 @@
     signal,
     onFailure: (call, message) =>
       logger.warnOnce(call, `Call ${call} failed: ${message}`),
+  }).catch((error) => {
+    // The reading of the engine's load would keep the process alive.
+    abort.abort();
+    throw error;
   });
   const gate = assignmentGate.createAssignmentGate({
     group: settings.group,
--- a/packages/anvilhinge/src/entry/mod.ts
+++ b/packages/anvilhinge/src/entry/mod.ts
@@ -306,6 +306,10 @@
     signal,
     onFailure: (call, message) =>
       logger.warnOnce(call, `Call ${call} failed: ${message}`),
+  }).catch((error) => {
+    // What listens already would keep the process alive.
+    abort.abort();
+    throw error;
   });
   await new Promise<void>((resolve) => {
     node = startNode(parts, { address, controlAddress, onReady: resolve });
--- a/scripts/binary_system.ts
+++ b/scripts/binary_system.ts
@@ -5,7 +5,6 @@
 import * as childProcess from "node:child_process";
 import { once } from "node:events";
 import * as fs from "node:fs/promises";
-import * as net from "node:net";
 import * as nodePath from "node:path";
 import * as random from "@anvilhinge/coordination/random";
 import * as assignmentCodec from "../packages/anvilhinge/src/adapters/assignment_codec.ts";
@@ -54,31 +53,14 @@
   readonly stepMs: number;
 }
 
-/** Finds ports that are free now; the system chooses them. */
-async function findFreePorts(count: number): Promise<readonly number[]> {
-  const servers = await Promise.all(
-    Array.from({ length: count }, async () => {
-      const server = net.createServer().listen(0, host);
-      await once(server, "listening");
-      return server;
-    }),
-  );
-  const ports = servers.map((server) =>
-    (server.address() as net.AddressInfo).port
-  );
-  for (const server of servers) server.close();
-  return ports;
-}
-
 function startProcess(
   options: BinarySystemOptions,
-  { id, role, address, settings }: {
+  { id, role, settings }: {
     readonly id: string;
     readonly role: "entry" | "agent";
-    readonly address: string;
     readonly settings: string;
   },
-): BinaryProcess {
+): Omit<BinaryProcess, "address"> {
   const child = childProcess.spawn(
     options.binary,
     [role, "--settings", settings],
@@ -90,16 +72,19 @@
       output += text;
     });
   }
-  return { id, address, process: child, readOutput: () => output };
+  return { id, process: child, readOutput: () => output };
 }
 
-/** Resolves when the process has written a line with `text`. */
-export async function waitForOutput(
-  running: BinaryProcess,
-  text: string,
-): Promise<void> {
-  while (!running.readOutput().includes(text)) {
-    if (running.process.exitCode !== null) {
+/** Resolves to the groups of `pattern` once the process has written it. */
+async function waitForOutput(
+  running: Omit<BinaryProcess, "address">,
+  pattern: RegExp,
+): Promise<readonly string[]> {
+  for (;;) {
+    const match = pattern.exec(running.readOutput());
+    if (match !== null) return match.slice(1);
+    const { exitCode, signalCode } = running.process;
+    if (exitCode !== null || signalCode !== null) {
       throw new Error(`${running.id} ended: ${running.readOutput()}`);
     }
     await new Promise((resolve) => setTimeout(resolve, 20));
@@ -190,71 +175,69 @@
         }).listen(listen),
     ),
   );
-  const ports = await findFreePorts(entryCount * 2 + rankCount);
-  const entryPorts = ports.slice(0, entryCount);
-  const controlPorts = ports.slice(entryCount, entryCount * 2);
-  const agentPorts = ports.slice(entryCount * 2);
   const platform = { objectStore: store.baseUrl, instanceList: list.baseUrl };
-  await writeInitialSettings(api, agentPorts.map((port) => `${host}:${port}`));
+  const address = { host, port: 0 };
 
   async function start(
     role: "entry" | "agent",
-    settings: Readonly<Record<string, unknown>> & {
-      readonly id: string;
-      readonly address: { readonly host: string; readonly port: number };
-    },
-  ): Promise<BinaryProcess> {
+    settings: Readonly<Record<string, unknown>> & { readonly id: string },
+  ): Promise<Omit<BinaryProcess, "address">> {
     const file = nodePath.join(options.folder, `${settings.id}.jsonc`);
     await fs.writeFile(file, JSON.stringify(settings));
-    const address = `${host}:${settings.address.port}`;
-    return startProcess(options, {
-      id: settings.id,
-      role,
-      address,
-      settings: file,
-    });
+    return startProcess(options, { id: settings.id, role, settings: file });
   }
 
-  const entries = await Promise.all(entryPorts.map((port, index) => {
+  async function startEntry(index: number) {
     const id = `entry-${index + 1}`;
-    const controlPort = controlPorts[index]!;
+    const running = await start("entry", {
+      id,
+      half: "association",
+      address,
+      controlAddress: address,
+      failureDomain: "milan_a",
+      region: "milan",
+      platform,
+      addressAnswerTtlMs,
+    });
+    const pattern = /Serves callers on ([\d.:]+) and agents on ([\d.:]+)/;
+    const found = await waitForOutput(running, pattern);
+    const [callers, controlAddress] = found as [string, string];
     registry.register({
       id,
       role: "entry",
       half: "association",
-      address: `${host}:${port}`,
+      address: callers,
+      controlAddress,
       failureDomain: "milan_a",
       state: "live",
     });
-    return start("entry", {
-      id,
-      half: "association",
-      address: { host, port },
-      controlAddress: { host, port: controlPort },
+    return { ...running, address: callers, controlAddress };
+  }
+
+  const entries = await Promise.all(
+    Array.from({ length: entryCount }, (_, index) => startEntry(index)),
+  );
+
+  async function startAgent(rank: number): Promise<BinaryProcess> {
+    const running = await start("agent", {
+      id: `agent-${rank}`,
+      group: groupName,
+      rank,
+      address,
       failureDomain: "milan_a",
       region: "milan",
+      entries: entries.map(({ controlAddress }) => controlAddress),
       platform,
-      addressAnswerTtlMs,
+      engine: { url: engines[rank]!.baseUrl, kind: "model" },
     });
-  }));
+    const found = await waitForOutput(running, /Serves rank .* on ([\d.:]+)/);
+    return { ...running, address: found[0]! };
+  }
+
   const agents = await Promise.all(
-    agentPorts.map((port, rank) =>
-      start("agent", {
-        id: `agent-${rank}`,
-        group: groupName,
-        rank,
-        address: { host, port },
-        failureDomain: "milan_a",
-        region: "milan",
-        entries: controlPorts.map((controlPort) => `${host}:${controlPort}`),
-        platform,
-        engine: { url: engines[rank]!.baseUrl, kind: "model" },
-      })
-    ),
-  );
-  await Promise.all(
-    [...entries, ...agents].map((running) => waitForOutput(running, "Serves")),
+    Array.from({ length: rankCount }, (_, rank) => startAgent(rank)),
   );
+  await writeInitialSettings(api, agents.map((agent) => agent.address));
   return {
     entries,
     agents,
