--- a/packages/anvilhinge/src/agent/mod.ts
+++ b/packages/anvilhinge/src/agent/mod.ts
@@ -2,6 +2,7 @@
 import * as nodeCrypto from "node:crypto";
 import * as random from "@anvilhinge/coordination/random";
 import * as awilix from "awilix";
+import * as abortSignal from "../adapters/abort_signal.ts";
 import * as connectServer from "../adapters/connect_server.ts";
 import * as engineHttp from "../adapters/engine_http.ts";
 import * as engineOrdersHttp from "../adapters/engine_orders_http.ts";
@@ -259,10 +260,6 @@
 ): Promise<void> {
   const agent = await startAgent(settings);
   options.onWork?.(() => `${agent.countOpen()} attempts`);
-  if (!options.signal.aborted) {
-    await new Promise((resolve) =>
-      options.signal.addEventListener("abort", resolve, { once: true })
-    );
-  }
+  await abortSignal.waitForAbort(options.signal);
   await agent.stop();
 }
--- a/packages/anvilhinge/src/dev/mod.ts
+++ b/packages/anvilhinge/src/dev/mod.ts
@@ -2,6 +2,7 @@
 import * as nodeCrypto from "node:crypto";
 import * as random from "@anvilhinge/coordination/random";
 import * as outcome from "../cli/outcome.ts";
+import * as abortSignal from "../adapters/abort_signal.ts";
 import * as systemScheduler from "../adapters/system_scheduler.ts";
 import * as playground from "../settings/playground.ts";
 import * as defaultSettings from "./default_settings.ts";
@@ -58,11 +59,7 @@
     print(`${group.name} runs ${group.agents.length} upstreams`);
   }
   print(`Operators' token: ${devToken}`);
-  if (!options.signal.aborted) {
-    await new Promise((resolve) =>
-      options.signal.addEventListener("abort", resolve, { once: true })
-    );
-  }
+  await abortSignal.waitForAbort(options.signal);
   await running.stop();
   abort.abort();
   return { kind: "done", text: "", data: null };
--- a/packages/anvilhinge/src/entry/drains_http.ts
+++ b/packages/anvilhinge/src/entry/drains_http.ts
@@ -1,5 +1,4 @@
 /** Operators' HTTP to take an entry out of the address answers before a stop. */
-import * as crypto from "node:crypto";
 import Router from "@koa/router";
 import coBody from "co-body";
 import type Koa from "koa";
@@ -7,6 +6,7 @@
 import * as jsonLines from "../adapters/json_lines.ts";
 import * as names from "../settings/names.ts";
 import type * as context from "./context.ts";
+import * as operatorAccess from "./operator_access.ts";
 import * as operatorAnswer from "./operator_answer.ts";
 
 const orderSchema = zod.strictObject({ instance: names.name });
@@ -27,12 +27,9 @@
   const { settings, state, logger, listMembers } = options.entry;
 
   function hasToken(koa: Koa.Context): boolean {
-    const token = koa.get("Authorization").replace(/^Bearer /, "");
-    const digest = crypto.createHash("sha256").update(token).digest();
-    const matches = settings.operators.filter(({ tokenSha256 }) =>
-      crypto.timingSafeEqual(digest, Buffer.from(tokenSha256, "hex"))
-    );
-    return matches.length > 0;
+    const authorization = koa.get("Authorization");
+    const { operators } = settings;
+    return operatorAccess.listOperators(operators, authorization).length > 0;
   }
 
   function describeOther(instance: string): string {
--- a/packages/anvilhinge/src/entry/mod.ts
+++ b/packages/anvilhinge/src/entry/mod.ts
@@ -5,6 +5,7 @@
 import * as random from "@anvilhinge/coordination/random";
 import * as awilix from "awilix";
 import Koa from "koa";
+import * as abortSignal from "../adapters/abort_signal.ts";
 import * as connectServer from "../adapters/connect_server.ts";
 import * as httpServer from "../adapters/http_server.ts";
 import * as instanceListHttp from "../adapters/instance_list_http.ts";
@@ -357,10 +358,6 @@
 ): Promise<void> {
   const entry = await startEntry(settings);
   options.onWork?.(() => `${entry.countOpen()} requests`);
-  if (!options.signal.aborted) {
-    await new Promise((resolve) =>
-      options.signal.addEventListener("abort", resolve, { once: true })
-    );
-  }
+  await abortSignal.waitForAbort(options.signal);
   await entry.stop();
 }
--- a/packages/anvilhinge/src/entry/operator_access.ts
+++ b/packages/anvilhinge/src/entry/operator_access.ts
@@ -5,17 +5,25 @@
 export type Operator = process.EntrySettings["operators"][number];
 
 /**
- * Returns the operator that the `Authorization` header belongs to, if it may
- * change the subtree. Every digest is compared in constant time.
+ * Returns the operators that the `Authorization` header belongs to. Every
+ * digest is compared in constant time.
  */
-export function findOperator(
+export function listOperators(
   operators: readonly Operator[],
-  request: { readonly authorization: string; readonly subtree: string },
-): Operator | undefined {
-  const token = request.authorization.replace(/^Bearer /, "");
+  authorization: string,
+): readonly Operator[] {
+  const token = authorization.replace(/^Bearer /, "");
   const digest = crypto.createHash("sha256").update(token).digest();
-  const known = operators.filter((operator) =>
+  return operators.filter((operator) =>
     crypto.timingSafeEqual(digest, Buffer.from(operator.tokenSha256, "hex"))
   );
-  return known.find(({ subtrees }) => subtrees.includes(request.subtree));
+}
+
+/** Returns the operator of the header, if it may change the subtree. */
+export function findOperator(
+  operators: readonly Operator[],
+  request: { readonly authorization: string; readonly subtree: string },
+): Operator | undefined {
+  return listOperators(operators, request.authorization)
+    .find(({ subtrees }) => subtrees.includes(request.subtree));
 }
