--- a/packages/anvilhinge/bench/claims.ts
+++ b/packages/anvilhinge/bench/claims.ts
@@ -7,7 +7,7 @@
 import type * as claims from "@anvilhinge/coordination/claims";
 import * as random from "@anvilhinge/coordination/random";
 import * as histogram from "hdr-histogram-js";
-import * as claimStore from "../src/entry/claim_store.ts";
+import * as claimStore from "../src/entry/session/claim_store.ts";
 import type * as objectStore from "../src/ports/object_store.ts";
 import type * as scheduler from "../src/ports/scheduler.ts";
 import * as eventQueue from "./claims_clock.ts";
--- a/packages/anvilhinge/src/entry/answer_writer.ts
+++ b/packages/anvilhinge/src/entry/callers/answer_writer.ts
@@ -1,11 +1,11 @@
 /** Writes the answer of a session to a koa response. */
 import * as stream from "node:stream";
 import type Koa from "koa";
-import type * as engine from "../ports/engine.ts";
+import type * as engine from "../../ports/engine.ts";
 import * as callerError from "./caller_error.ts";
-import * as eventId from "./event_id.ts";
-import type * as runner from "./runner.ts";
-import type * as session from "./session.ts";
+import * as eventId from "../session/event_id.ts";
+import type * as runner from "../session/runner.ts";
+import type * as session from "../session/session.ts";
 
 /** Headers that belong to one connection and are not passed on. */
 const connectionHeaders: readonly string[] = [
--- a/packages/anvilhinge/src/entry/caller_error.ts
+++ b/packages/anvilhinge/src/entry/callers/caller_error.ts
@@ -1,5 +1,5 @@
 /** Errors as callers see them: typed JSON with a code that programs can match. */
-import type * as session from "./session.ts";
+import type * as session from "../session/session.ts";
 
 /** Code of an error answer. */
 export type CallerErrorCode =
--- a/packages/anvilhinge/src/entry/callers_http.ts
+++ b/packages/anvilhinge/src/entry/callers/callers_http.ts
@@ -2,12 +2,12 @@
 import * as net from "node:net";
 import Router from "@koa/router";
 import type Koa from "koa";
-import type * as objects from "../settings/objects.ts";
-import * as addresses from "./addresses.ts";
+import type * as objects from "../../settings/objects.ts";
+import * as addresses from "../choice/addresses.ts";
 import * as answerWriter from "./answer_writer.ts";
-import * as callIdentity from "./call_identity.ts";
-import type * as context from "./context.ts";
-import * as inquiry from "./inquiry.ts";
+import * as callIdentity from "../session/call_identity.ts";
+import type * as context from "../context.ts";
+import * as inquiry from "../session/inquiry.ts";
 import * as outcomeAnswer from "./outcome_answer.ts";
 import * as requestChecks from "./request_checks.ts";
 import * as requestRunner from "./request_runner.ts";
--- a/packages/anvilhinge/src/entry/outcome_answer.ts
+++ b/packages/anvilhinge/src/entry/callers/outcome_answer.ts
@@ -1,6 +1,6 @@
 /** Writes what became of a call, for `GET /v1/requests/<request id>`. */
 import type Koa from "koa";
-import type * as inquiry from "./inquiry.ts";
+import type * as inquiry from "../session/inquiry.ts";
 import type * as requestChecks from "./request_checks.ts";
 
 const retryAfterMs = 1_000;
--- a/packages/anvilhinge/src/entry/request_checks.ts
+++ b/packages/anvilhinge/src/entry/callers/request_checks.ts
@@ -2,10 +2,10 @@
 import coBody from "co-body";
 import type Koa from "koa";
 import type * as callerError from "./caller_error.ts";
-import type * as catalog from "./catalog.ts";
-import type * as context from "./context.ts";
-import * as eventId from "./event_id.ts";
-import type * as session from "./session.ts";
+import type * as catalog from "../choice/catalog.ts";
+import type * as context from "../context.ts";
+import * as eventId from "../session/event_id.ts";
+import type * as session from "../session/session.ts";
 
 /** Names the workspace of a request as `<team>/<name>`. */
 export const workspaceHeader = "X-Workspace";
--- a/packages/anvilhinge/src/entry/request_runner.ts
+++ b/packages/anvilhinge/src/entry/callers/request_runner.ts
@@ -2,15 +2,15 @@
 import * as api from "@opentelemetry/api";
 import type * as limits from "@anvilhinge/coordination/limits";
 import type Koa from "koa";
-import * as tracing from "../telemetry/tracing.ts";
+import * as tracing from "../../telemetry/tracing.ts";
 import * as answerWriter from "./answer_writer.ts";
-import type * as context from "./context.ts";
-import type * as eventId from "./event_id.ts";
+import type * as context from "../context.ts";
+import type * as eventId from "../session/event_id.ts";
 import * as requestChecks from "./request_checks.ts";
-import * as runner from "./runner.ts";
-import * as session from "./session.ts";
-import type * as upstreams from "./upstreams.ts";
-import type * as workPolicy from "./work_policy.ts";
+import * as runner from "../session/runner.ts";
+import * as session from "../session/session.ts";
+import type * as upstreams from "../choice/upstreams.ts";
+import type * as workPolicy from "../choice/work_policy.ts";
 
 export interface RunOptions {
   readonly need: upstreams.Need;
--- a/packages/anvilhinge/src/entry/catalog.ts
+++ b/packages/anvilhinge/src/entry/choice/catalog.ts
@@ -2,7 +2,7 @@
  * The settings that are in force at an entry, by name: workspaces, services,
  * models and groups. Fed with settings objects; knows nothing of their origin.
  */
-import * as objects from "../settings/objects.ts";
+import * as objects from "../../settings/objects.ts";
 
 /** A workspace and the path that it stands under. */
 export interface WorkspaceEntry {
--- a/packages/anvilhinge/src/entry/upstreams.ts
+++ b/packages/anvilhinge/src/entry/choice/upstreams.ts
@@ -9,8 +9,8 @@
 import type * as health from "@anvilhinge/coordination/health";
 import type * as random from "@anvilhinge/coordination/random";
 import type * as subset from "@anvilhinge/coordination/subset";
-import type * as engine from "../ports/engine.ts";
-import type * as session from "./session.ts";
+import type * as engine from "../../ports/engine.ts";
+import type * as session from "../session/session.ts";
 
 /** Where the agent of one rank listens and runs. */
 export interface RankSpec extends subset.Location {
--- a/packages/anvilhinge/src/entry/work_policy.ts
+++ b/packages/anvilhinge/src/entry/choice/work_policy.ts
@@ -10,11 +10,11 @@
 import type * as random from "@anvilhinge/coordination/random";
 import * as retryBudget from "@anvilhinge/coordination/retry_budget";
 import type * as subset from "@anvilhinge/coordination/subset";
-import type * as scheduler from "../ports/scheduler.ts";
-import type * as logger from "../telemetry/logger.ts";
-import type * as metrics from "../telemetry/metrics.ts";
-import type * as agentClient from "./agent_client.ts";
-import type * as session from "./session.ts";
+import type * as scheduler from "../../ports/scheduler.ts";
+import type * as logger from "../../telemetry/logger.ts";
+import type * as metrics from "../../telemetry/metrics.ts";
+import type * as agentClient from "../session/agent_client.ts";
+import type * as session from "../session/session.ts";
 import * as upstreams from "./upstreams.ts";
 import * as workspaceLimits from "./workspace_limits.ts";
 
--- a/packages/anvilhinge/src/entry/workspace_limits.ts
+++ b/packages/anvilhinge/src/entry/choice/workspace_limits.ts
@@ -4,7 +4,7 @@
  */
 import type * as clock from "@anvilhinge/coordination/clock";
 import * as limits from "@anvilhinge/coordination/limits";
-import type * as objects from "../settings/objects.ts";
+import type * as objects from "../../settings/objects.ts";
 import * as addresses from "./addresses.ts";
 
 export interface WorkspaceLimitsOptions {
--- a/packages/anvilhinge/src/entry/context.ts
+++ b/packages/anvilhinge/src/entry/context.ts
@@ -6,13 +6,13 @@
 import type * as logger from "../telemetry/logger.ts";
 import type * as metrics from "../telemetry/metrics.ts";
 import type * as tracing from "../telemetry/tracing.ts";
-import type * as addresses from "./addresses.ts";
-import type * as agentClient from "./agent_client.ts";
-import type * as agentClocks from "./agent_clocks.ts";
-import type * as catalog from "./catalog.ts";
-import type * as claimStore from "./claim_store.ts";
-import type * as upstreams from "./upstreams.ts";
-import type * as workPolicy from "./work_policy.ts";
+import type * as addresses from "./choice/addresses.ts";
+import type * as agentClient from "./session/agent_client.ts";
+import type * as agentClocks from "./session/agent_clocks.ts";
+import type * as catalog from "./choice/catalog.ts";
+import type * as claimStore from "./session/claim_store.ts";
+import type * as upstreams from "./choice/upstreams.ts";
+import type * as workPolicy from "./choice/work_policy.ts";
 
 /** Whether the entry takes work; changed only by its life cycle. */
 export interface EntryState {
--- a/packages/anvilhinge/src/entry/assignment_writer.ts
+++ b/packages/anvilhinge/src/entry/control/assignment_writer.ts
@@ -1,8 +1,8 @@
 /** Writes a group's record under a condition and settles lost answers. */
 import * as conditionalWrite from "@anvilhinge/coordination/conditional_write";
 import type * as handover from "@anvilhinge/coordination/handover";
-import * as assignmentCodec from "../adapters/assignment_codec.ts";
-import type * as context from "./context.ts";
+import * as assignmentCodec from "../../adapters/assignment_codec.ts";
+import type * as context from "../context.ts";
 
 export type WriterContext = Pick<context.EntryContext, "store" | "scheduler">;
 
--- a/packages/anvilhinge/src/entry/control_service.ts
+++ b/packages/anvilhinge/src/entry/control/control_service.ts
@@ -4,9 +4,9 @@
  */
 import type * as assignment from "@anvilhinge/coordination/assignment";
 import type * as connect from "@connectrpc/connect";
-import * as assignmentCodec from "../adapters/assignment_codec.ts";
-import * as streamQueue from "../adapters/stream_queue.ts";
-import * as entryPb from "../gen/anvilhinge/v1/entry_pb.ts";
+import * as assignmentCodec from "../../adapters/assignment_codec.ts";
+import * as streamQueue from "../../adapters/stream_queue.ts";
+import * as entryPb from "../../gen/anvilhinge/v1/entry_pb.ts";
 import type * as controlDuties from "./control_duties.ts";
 
 /** Distributes assignments to the agents that follow this entry. */
--- a/packages/anvilhinge/src/entry/duties.ts
+++ b/packages/anvilhinge/src/entry/control/duties.ts
@@ -5,8 +5,8 @@
 import * as bundle from "@anvilhinge/coordination/bundle";
 import * as lease from "@anvilhinge/coordination/lease";
 import * as leaseDriver from "@anvilhinge/coordination/lease_driver";
-import * as leaseKey from "../adapters/lease_key.ts";
-import type * as context from "./context.ts";
+import * as leaseKey from "../../adapters/lease_key.ts";
+import type * as context from "../context.ts";
 
 export type DutiesContext = Pick<
   context.EntryContext,
--- a/packages/anvilhinge/src/entry/duty_directory.ts
+++ b/packages/anvilhinge/src/entry/control/duty_directory.ts
@@ -1,7 +1,7 @@
 /** Finds the entry in charge of a duty of either half by the duty's lease. */
 import * as leaseRecord from "@anvilhinge/coordination/lease_record";
-import * as leaseKey from "../adapters/lease_key.ts";
-import type * as objectStore from "../ports/object_store.ts";
+import * as leaseKey from "../../adapters/lease_key.ts";
+import type * as objectStore from "../../ports/object_store.ts";
 
 /** A duty of one half. */
 export interface Duty {
--- a/packages/anvilhinge/src/entry/entry_client.ts
+++ b/packages/anvilhinge/src/entry/control/entry_client.ts
@@ -2,7 +2,7 @@
 import type * as handover from "@anvilhinge/coordination/handover";
 import * as connect from "@connectrpc/connect";
 import * as connectNode from "@connectrpc/connect-node";
-import * as entryPb from "../gen/anvilhinge/v1/entry_pb.ts";
+import * as entryPb from "../../gen/anvilhinge/v1/entry_pb.ts";
 
 /** A rank's report that it has no work of an older epoch left. */
 export interface GroupReport extends handover.DrainedReport {
--- a/packages/anvilhinge/src/entry/gossip_client.ts
+++ b/packages/anvilhinge/src/entry/control/gossip_client.ts
@@ -2,8 +2,8 @@
 import type * as gossipMessage from "@anvilhinge/coordination/gossip_message";
 import * as connect from "@connectrpc/connect";
 import * as connectNode from "@connectrpc/connect-node";
-import * as gossipCodec from "../adapters/gossip_codec.ts";
-import * as gossipPb from "../gen/anvilhinge/v1/gossip_pb.ts";
+import * as gossipCodec from "../../adapters/gossip_codec.ts";
+import * as gossipPb from "../../gen/anvilhinge/v1/gossip_pb.ts";
 
 export interface GossipClient {
   /** Resolves to undefined when no usable reply arrived in time. */
--- a/packages/anvilhinge/src/entry/gossip_service.ts
+++ b/packages/anvilhinge/src/entry/control/gossip_service.ts
@@ -1,8 +1,8 @@
 /** Serves the gossip of the other entries of the half. */
 import type * as gossipMessage from "@anvilhinge/coordination/gossip_message";
 import * as connect from "@connectrpc/connect";
-import * as gossipCodec from "../adapters/gossip_codec.ts";
-import * as gossipPb from "../gen/anvilhinge/v1/gossip_pb.ts";
+import * as gossipCodec from "../../adapters/gossip_codec.ts";
+import * as gossipPb from "../../gen/anvilhinge/v1/gossip_pb.ts";
 
 export interface GossipServiceOptions {
   readonly half: string;
--- a/packages/anvilhinge/src/entry/handover_duty.ts
+++ b/packages/anvilhinge/src/entry/control/handover_duty.ts
@@ -5,9 +5,9 @@
  * intervals, so that a lost event delays a step but does not lose it.
  */
 import * as handover from "@anvilhinge/coordination/handover";
-import * as assignmentCodec from "../adapters/assignment_codec.ts";
+import * as assignmentCodec from "../../adapters/assignment_codec.ts";
 import * as assignmentWriter from "./assignment_writer.ts";
-import type * as context from "./context.ts";
+import type * as context from "../context.ts";
 import type * as duties from "./duties.ts";
 import type * as entryClient from "./entry_client.ts";
 
--- a/packages/anvilhinge/src/entry/handover_duty_test.ts
+++ b/packages/anvilhinge/src/entry/control/handover_duty_test.ts
@@ -1,5 +1,5 @@
-import type * as faults from "../stand_ins/faults.ts";
-import * as handoverWorld from "../testing/handover_world.ts";
+import type * as faults from "../../stand_ins/faults.ts";
+import * as handoverWorld from "../../testing/handover_world.ts";
 
 const patienceMs = 40_000;
 const moved = { half: "water_board", epoch: 3, state: "serving" } as const;
--- a/packages/anvilhinge/src/entry/replica_scope.ts
+++ b/packages/anvilhinge/src/entry/control/replica_scope.ts
@@ -4,10 +4,10 @@
  * definition under the other half's path; nothing else crosses over.
  */
 import type * as settingsReplica from "@anvilhinge/coordination/settings_replica";
-import * as assignmentCodec from "../adapters/assignment_codec.ts";
-import type * as objectStore from "../ports/object_store.ts";
-import * as objects from "../settings/objects.ts";
-import * as record from "../settings/record.ts";
+import * as assignmentCodec from "../../adapters/assignment_codec.ts";
+import type * as objectStore from "../../ports/object_store.ts";
+import * as objects from "../../settings/objects.ts";
+import * as record from "../../settings/record.ts";
 
 /** Prefixes of the object API that are read. */
 export const replicaPrefixes: readonly string[] = [
--- a/packages/anvilhinge/src/entry/store_follower.ts
+++ b/packages/anvilhinge/src/entry/control/store_follower.ts
@@ -4,8 +4,8 @@
  */
 import * as backoff from "@anvilhinge/coordination/backoff";
 import type * as random from "@anvilhinge/coordination/random";
-import type * as objectStore from "../ports/object_store.ts";
-import type * as scheduler from "../ports/scheduler.ts";
+import type * as objectStore from "../../ports/object_store.ts";
+import type * as scheduler from "../../ports/scheduler.ts";
 
 export interface ListOptions {
   readonly store: objectStore.ObjectStore;
--- a/packages/anvilhinge/src/entry/view.ts
+++ b/packages/anvilhinge/src/entry/control/view.ts
@@ -4,10 +4,10 @@
  */
 import type * as assignment from "@anvilhinge/coordination/assignment";
 import type * as settingsReplica from "@anvilhinge/coordination/settings_replica";
-import * as assignmentCodec from "../adapters/assignment_codec.ts";
-import * as objects from "../settings/objects.ts";
-import * as record from "../settings/record.ts";
-import type * as context from "./context.ts";
+import * as assignmentCodec from "../../adapters/assignment_codec.ts";
+import * as objects from "../../settings/objects.ts";
+import * as record from "../../settings/record.ts";
+import type * as context from "../context.ts";
 
 export interface ViewOptions {
   readonly entry: Pick<
--- a/packages/anvilhinge/src/entry/group_names.ts
+++ b/packages/anvilhinge/src/entry/operators/group_names.ts
@@ -4,7 +4,7 @@
  * first written, so that two teams can't take it at the same time.
  */
 import * as zod from "zod";
-import type * as objectStore from "../ports/object_store.ts";
+import type * as objectStore from "../../ports/object_store.ts";
 
 /** Prefix of the keys of reserved group names in the object API. */
 export const groupNamePrefix = "group_names/";
--- a/packages/anvilhinge/src/entry/moves.ts
+++ b/packages/anvilhinge/src/entry/operators/moves.ts
@@ -4,10 +4,10 @@
  */
 import type * as conditionalWrite from "@anvilhinge/coordination/conditional_write";
 import * as handover from "@anvilhinge/coordination/handover";
-import * as assignmentCodec from "../adapters/assignment_codec.ts";
-import * as assignmentWriter from "./assignment_writer.ts";
-import type * as context from "./context.ts";
-import type * as controlDuties from "./control_duties.ts";
+import * as assignmentCodec from "../../adapters/assignment_codec.ts";
+import * as assignmentWriter from "../control/assignment_writer.ts";
+import type * as context from "../context.ts";
+import type * as controlDuties from "../control/control_duties.ts";
 import * as operatorAccess from "./operator_access.ts";
 
 export interface MovesContext extends
--- a/packages/anvilhinge/src/entry/moves_http.ts
+++ b/packages/anvilhinge/src/entry/operators/moves_http.ts
@@ -3,9 +3,9 @@
 import coBody from "co-body";
 import type Koa from "koa";
 import * as zod from "zod";
-import * as jsonLines from "../adapters/json_lines.ts";
-import * as names from "../settings/names.ts";
-import type * as context from "./context.ts";
+import * as jsonLines from "../../adapters/json_lines.ts";
+import * as names from "../../settings/names.ts";
+import type * as context from "../context.ts";
 import * as moves from "./moves.ts";
 
 const orderSchema = zod.strictObject({
--- a/packages/anvilhinge/src/entry/operator_access.ts
+++ b/packages/anvilhinge/src/entry/operators/operator_access.ts
@@ -1,6 +1,6 @@
 /** Who may change which subtree: bearer tokens known by their digests. */
 import * as crypto from "node:crypto";
-import type * as process from "../settings/process.ts";
+import type * as process from "../../settings/process.ts";
 
 export type Operator = process.EntrySettings["operators"][number];
 
--- a/packages/anvilhinge/src/entry/operators_http.ts
+++ b/packages/anvilhinge/src/entry/operators/operators_http.ts
@@ -1,8 +1,8 @@
 /** Operators' HTTP: settings under paths with versions, status, metrics, health. */
 import Router from "@koa/router";
 import type Koa from "koa";
-import * as record from "../settings/record.ts";
-import type * as context from "./context.ts";
+import * as record from "../../settings/record.ts";
+import type * as context from "../context.ts";
 import * as operatorAnswer from "./operator_answer.ts";
 import * as operatorsWrite from "./operators_write.ts";
 
--- a/packages/anvilhinge/src/entry/operators_write.ts
+++ b/packages/anvilhinge/src/entry/operators/operators_write.ts
@@ -2,10 +2,10 @@
 import Router from "@koa/router";
 import coBody from "co-body";
 import type Koa from "koa";
-import * as document from "../settings/document.ts";
-import * as objectPath from "../settings/object_path.ts";
-import * as objects from "../settings/objects.ts";
-import type * as context from "./context.ts";
+import * as document from "../../settings/document.ts";
+import * as objectPath from "../../settings/object_path.ts";
+import * as objects from "../../settings/objects.ts";
+import type * as context from "../context.ts";
 import * as operatorAccess from "./operator_access.ts";
 import * as operatorAnswer from "./operator_answer.ts";
 import * as settingsChange from "./settings_change.ts";
--- a/packages/anvilhinge/src/entry/settings_change.ts
+++ b/packages/anvilhinge/src/entry/operators/settings_change.ts
@@ -4,13 +4,13 @@
  */
 import * as crypto from "node:crypto";
 import * as ambiguousWrite from "@anvilhinge/coordination/ambiguous_write";
-import type * as objectStore from "../ports/object_store.ts";
-import type * as document from "../settings/document.ts";
-import * as objectPath from "../settings/object_path.ts";
-import * as objects from "../settings/objects.ts";
-import * as record from "../settings/record.ts";
-import * as subtree from "../settings/subtree.ts";
-import type * as catalog from "./catalog.ts";
+import type * as objectStore from "../../ports/object_store.ts";
+import type * as document from "../../settings/document.ts";
+import * as objectPath from "../../settings/object_path.ts";
+import * as objects from "../../settings/objects.ts";
+import * as record from "../../settings/record.ts";
+import * as subtree from "../../settings/subtree.ts";
+import type * as catalog from "../choice/catalog.ts";
 import * as groupNames from "./group_names.ts";
 
 export interface SettingsChange {
--- a/packages/anvilhinge/src/entry/settings_change_test.ts
+++ b/packages/anvilhinge/src/entry/operators/settings_change_test.ts
@@ -1,11 +1,11 @@
-import type * as objectStore from "../ports/object_store.ts";
-import * as objects from "../settings/objects.ts";
-import * as record from "../settings/record.ts";
-import * as faults from "../stand_ins/faults.ts";
-import * as localObjectStore from "../stand_ins/local_object_store.ts";
-import * as objectApi from "../stand_ins/object_api.ts";
-import * as manualScheduler from "../testing/manual_scheduler.ts";
-import * as catalog from "./catalog.ts";
+import type * as objectStore from "../../ports/object_store.ts";
+import * as objects from "../../settings/objects.ts";
+import * as record from "../../settings/record.ts";
+import * as faults from "../../stand_ins/faults.ts";
+import * as localObjectStore from "../../stand_ins/local_object_store.ts";
+import * as objectApi from "../../stand_ins/object_api.ts";
+import * as manualScheduler from "../../testing/manual_scheduler.ts";
+import * as catalog from "../choice/catalog.ts";
 import * as settingsChange from "./settings_change.ts";
 
 const modelPath = "/association/drafting/models/drafting";
--- a/packages/anvilhinge/src/entry/agent_client.ts
+++ b/packages/anvilhinge/src/entry/session/agent_client.ts
@@ -1,9 +1,9 @@
 /** Calls agents with connect-es; one HTTP/2 connection for each agent in use. */
 import * as connect from "@connectrpc/connect";
 import * as connectNode from "@connectrpc/connect-node";
-import * as frameCodec from "../adapters/frame_codec.ts";
-import * as agentPb from "../gen/anvilhinge/v1/agent_pb.ts";
-import type * as frames from "../ports/frames.ts";
+import * as frameCodec from "../../adapters/frame_codec.ts";
+import * as agentPb from "../../gen/anvilhinge/v1/agent_pb.ts";
+import type * as frames from "../../ports/frames.ts";
 
 /** How a stream of frames ended on the side of the entry. */
 export type StreamEnd =
--- a/packages/anvilhinge/src/entry/agent_clocks.ts
+++ b/packages/anvilhinge/src/entry/session/agent_clocks.ts
@@ -4,7 +4,7 @@
  * date costs a refusal, never a second run.
  */
 import type * as clock from "@anvilhinge/coordination/clock";
-import type * as frames from "../ports/frames.ts";
+import type * as frames from "../../ports/frames.ts";
 import type * as agentClient from "./agent_client.ts";
 import type * as sessionTypes from "./session_types.ts";
 
--- a/packages/anvilhinge/src/entry/answer_buffer.ts
+++ b/packages/anvilhinge/src/entry/session/answer_buffer.ts
@@ -1,6 +1,6 @@
 /** What a session holds of the answer: undelivered parts and what is recorded. */
 import type * as claims from "@anvilhinge/coordination/claims";
-import type * as engine from "../ports/engine.ts";
+import type * as engine from "../../ports/engine.ts";
 import type * as types from "./session_types.ts";
 
 type Part = Extract<
--- a/packages/anvilhinge/src/entry/attempt_state.ts
+++ b/packages/anvilhinge/src/entry/session/attempt_state.ts
@@ -1,6 +1,6 @@
 /** The present attempt of a session. */
 import type * as claims from "@anvilhinge/coordination/claims";
-import * as frames from "../ports/frames.ts";
+import * as frames from "../../ports/frames.ts";
 import type * as types from "./session_types.ts";
 
 export type Phase =
--- a/packages/anvilhinge/src/entry/claim_store.ts
+++ b/packages/anvilhinge/src/entry/session/claim_store.ts
@@ -3,8 +3,8 @@
 import * as claimShard from "@anvilhinge/coordination/claim_shard";
 import * as claims from "@anvilhinge/coordination/claims";
 import type * as random from "@anvilhinge/coordination/random";
-import type * as objectStore from "../ports/object_store.ts";
-import type * as scheduler from "../ports/scheduler.ts";
+import type * as objectStore from "../../ports/object_store.ts";
+import type * as scheduler from "../../ports/scheduler.ts";
 
 export interface ClaimStoreOptions {
   readonly store: objectStore.ObjectStore;
--- a/packages/anvilhinge/src/entry/claim_store_test.ts
+++ b/packages/anvilhinge/src/entry/session/claim_store_test.ts
@@ -1,9 +1,9 @@
 import * as claims from "@anvilhinge/coordination/claims";
 import * as random from "@anvilhinge/coordination/random";
-import * as faults from "../stand_ins/faults.ts";
-import * as localObjectStore from "../stand_ins/local_object_store.ts";
-import * as objectApi from "../stand_ins/object_api.ts";
-import * as manualScheduler from "../testing/manual_scheduler.ts";
+import * as faults from "../../stand_ins/faults.ts";
+import * as localObjectStore from "../../stand_ins/local_object_store.ts";
+import * as objectApi from "../../stand_ins/object_api.ts";
+import * as manualScheduler from "../../testing/manual_scheduler.ts";
 import * as claimStore from "./claim_store.ts";
 
 const half = "association";
--- a/packages/anvilhinge/src/entry/inquiry.ts
+++ b/packages/anvilhinge/src/entry/session/inquiry.ts
@@ -3,8 +3,8 @@
  * where that is open, from the agent that the claim names.
  */
 import type * as claims from "@anvilhinge/coordination/claims";
-import type * as frames from "../ports/frames.ts";
-import type * as scheduler from "../ports/scheduler.ts";
+import type * as frames from "../../ports/frames.ts";
+import type * as scheduler from "../../ports/scheduler.ts";
 import type * as agentClient from "./agent_client.ts";
 import * as answerBuffer from "./answer_buffer.ts";
 import type * as claimStore from "./claim_store.ts";
--- a/packages/anvilhinge/src/entry/runner.ts
+++ b/packages/anvilhinge/src/entry/session/runner.ts
@@ -1,7 +1,7 @@
 /** Carries out the effects of a session: calls to agents, timers, the answer. */
-import type * as engine from "../ports/engine.ts";
-import type * as frames from "../ports/frames.ts";
-import type * as scheduler from "../ports/scheduler.ts";
+import type * as engine from "../../ports/engine.ts";
+import type * as frames from "../../ports/frames.ts";
+import type * as scheduler from "../../ports/scheduler.ts";
 import type * as agentClient from "./agent_client.ts";
 import type * as agentClocks from "./agent_clocks.ts";
 import type * as claimStore from "./claim_store.ts";
--- a/packages/anvilhinge/src/entry/session_core.ts
+++ b/packages/anvilhinge/src/entry/session/session_core.ts
@@ -2,7 +2,7 @@
  * What the parts of a session share: its state, the choice of the next attempt,
  * and the ways in which it ends.
  */
-import type * as engine from "../ports/engine.ts";
+import type * as engine from "../../ports/engine.ts";
 import * as answerBuffer from "./answer_buffer.ts";
 import * as attemptState from "./attempt_state.ts";
 import type * as types from "./session_types.ts";
--- a/packages/anvilhinge/src/entry/session_frames.ts
+++ b/packages/anvilhinge/src/entry/session/session_frames.ts
@@ -1,5 +1,5 @@
 /** The part of a session that follows a dispatched attempt. */
-import type * as frames from "../ports/frames.ts";
+import type * as frames from "../../ports/frames.ts";
 import * as attemptState from "./attempt_state.ts";
 import type * as sessionCore from "./session_core.ts";
 import type * as types from "./session_types.ts";
--- a/packages/anvilhinge/src/entry/session_property_test.ts
+++ b/packages/anvilhinge/src/entry/session/session_property_test.ts
@@ -1,6 +1,6 @@
 import fc from "fast-check";
-import type * as frames from "../ports/frames.ts";
-import * as sessionDriver from "../testing/session_driver.ts";
+import type * as frames from "../../ports/frames.ts";
+import * as sessionDriver from "../../testing/session_driver.ts";
 import type * as session from "./session.ts";
 
 const chunkCount = 4;
--- a/packages/anvilhinge/src/entry/session_resume_test.ts
+++ b/packages/anvilhinge/src/entry/session/session_resume_test.ts
@@ -1,5 +1,5 @@
 import * as clock from "@anvilhinge/coordination/clock";
-import type * as frames from "../ports/frames.ts";
+import type * as frames from "../../ports/frames.ts";
 import * as session from "./session.ts";
 
 function createUpstream(rank: number): session.Upstream {
--- a/packages/anvilhinge/src/entry/session_test.ts
+++ b/packages/anvilhinge/src/entry/session/session_test.ts
@@ -1,5 +1,5 @@
 import type * as claims from "@anvilhinge/coordination/claims";
-import * as sessionDriver from "../testing/session_driver.ts";
+import * as sessionDriver from "../../testing/session_driver.ts";
 import * as session from "./session.ts";
 
 const { accepted, createChunk, createEnd, createRefusal } = sessionDriver;
--- a/packages/anvilhinge/src/entry/session_timers.ts
+++ b/packages/anvilhinge/src/entry/session/session_timers.ts
@@ -3,7 +3,7 @@
  * no platform timer: the armed one looks at the latest due instant when it
  * fires, and goes on waiting for the rest.
  */
-import type * as scheduler from "../ports/scheduler.ts";
+import type * as scheduler from "../../ports/scheduler.ts";
 import type * as session from "./session.ts";
 
 export interface SessionTimersOptions {
--- a/packages/anvilhinge/src/entry/session_timers_test.ts
+++ b/packages/anvilhinge/src/entry/session/session_timers_test.ts
@@ -1,4 +1,4 @@
-import * as manualScheduler from "../testing/manual_scheduler.ts";
+import * as manualScheduler from "../../testing/manual_scheduler.ts";
 import * as sessionTimers from "./session_timers.ts";
 
 function createTimers() {
--- a/packages/anvilhinge/src/entry/session_types.ts
+++ b/packages/anvilhinge/src/entry/session/session_types.ts
@@ -1,8 +1,8 @@
 /** Events, effects and options of the state machine of one request. */
 import type * as claims from "@anvilhinge/coordination/claims";
 import type * as clock from "@anvilhinge/coordination/clock";
-import type * as engine from "../ports/engine.ts";
-import type * as frames from "../ports/frames.ts";
+import type * as engine from "../../ports/engine.ts";
+import type * as frames from "../../ports/frames.ts";
 
 /** An upstream that a request may be sent to. */
 export interface Upstream {
--- a/packages/anvilhinge/src/matrix/agent_node.ts
+++ b/packages/anvilhinge/src/matrix/agent_node.ts
@@ -1,8 +1,8 @@
 /** An agent of the matrix: the real attempt table beside a small engine. */
 import type * as assignment from "@anvilhinge/coordination/assignment";
 import * as attempts from "../agent/attempts.ts";
-import type * as agentClient from "../entry/agent_client.ts";
-import type * as session from "../entry/session.ts";
+import type * as agentClient from "../entry/session/agent_client.ts";
+import type * as session from "../entry/session/session.ts";
 import type * as frames from "../ports/frames.ts";
 import type * as scheduler from "../ports/scheduler.ts";
 import * as network from "./network.ts";
--- a/packages/anvilhinge/src/matrix/caller.ts
+++ b/packages/anvilhinge/src/matrix/caller.ts
@@ -4,7 +4,7 @@
  */
 import type * as engine from "../ports/engine.ts";
 import type * as scheduler from "../ports/scheduler.ts";
-import type * as session from "../entry/session.ts";
+import type * as session from "../entry/session/session.ts";
 import type * as entryNode from "./entry_node.ts";
 
 /** What one entry said to one sending of the call. */
--- a/packages/anvilhinge/src/matrix/entry_node.ts
+++ b/packages/anvilhinge/src/matrix/entry_node.ts
@@ -1,11 +1,11 @@
 /** An entry of the matrix: the real session, runner and claims on fakes. */
 import * as random from "@anvilhinge/coordination/random";
-import type * as agentClient from "../entry/agent_client.ts";
-import * as agentClocks from "../entry/agent_clocks.ts";
-import * as claimStore from "../entry/claim_store.ts";
-import * as inquiry from "../entry/inquiry.ts";
-import * as runner from "../entry/runner.ts";
-import * as session from "../entry/session.ts";
+import type * as agentClient from "../entry/session/agent_client.ts";
+import * as agentClocks from "../entry/session/agent_clocks.ts";
+import * as claimStore from "../entry/session/claim_store.ts";
+import * as inquiry from "../entry/session/inquiry.ts";
+import * as runner from "../entry/session/runner.ts";
+import * as session from "../entry/session/session.ts";
 import type * as objectStore from "../ports/object_store.ts";
 import type * as scheduler from "../ports/scheduler.ts";
 import type * as agentNode from "./agent_node.ts";
--- a/packages/anvilhinge/src/matrix/golden.ts
+++ b/packages/anvilhinge/src/matrix/golden.ts
@@ -2,7 +2,7 @@
  * Records whole sessions as text: each message between the processes, and each
  * event and effect of the session's state machine, on a manual clock.
  */
-import type * as session from "../entry/session.ts";
+import type * as session from "../entry/session/session.ts";
 import type * as steps from "./steps.ts";
 import * as world from "./world.ts";
 
--- a/packages/anvilhinge/src/matrix/world.ts
+++ b/packages/anvilhinge/src/matrix/world.ts
@@ -3,8 +3,8 @@
  * plan says what goes wrong at which step; the world runs to its end and keeps
  * a record of all that took effect and all that was said.
  */
-import type * as session from "../entry/session.ts";
-import type * as inquiry from "../entry/inquiry.ts";
+import type * as session from "../entry/session/session.ts";
+import type * as inquiry from "../entry/session/inquiry.ts";
 import * as faults from "../stand_ins/faults.ts";
 import * as localObjectStore from "../stand_ins/local_object_store.ts";
 import * as objectApi from "../stand_ins/object_api.ts";
--- a/packages/anvilhinge/src/testing/session_driver.ts
+++ b/packages/anvilhinge/src/testing/session_driver.ts
@@ -1,7 +1,7 @@
 /** Drives the state machine of one request in tests and collects its effects. */
 import * as clock from "@anvilhinge/coordination/clock";
 import type * as frames from "../ports/frames.ts";
-import * as session from "../entry/session.ts";
+import * as session from "../entry/session/session.ts";
 
 export interface DriverOptions {
   readonly request?: Partial<session.Request>;
--- a/scripts/capacity/control.ts
+++ b/scripts/capacity/control.ts
@@ -4,7 +4,7 @@
 import * as settingsReplica from "@anvilhinge/coordination/settings_replica";
 import * as eventQueue from "../../packages/coordination/bench/event_queue.ts";
 import * as fakeCluster from "../../packages/coordination/bench/fake_cluster.ts";
-import * as addresses from "../../packages/anvilhinge/src/entry/addresses.ts";
+import * as addresses from "../../packages/anvilhinge/src/entry/choice/addresses.ts";
 import type * as fit from "./fit.ts";
 import * as measure from "./measure.ts";
 import type * as table from "./table.ts";
--- a/scripts/capacity/work.ts
+++ b/scripts/capacity/work.ts
@@ -7,7 +7,7 @@
 import * as connectServer from "../../packages/anvilhinge/src/adapters/connect_server.ts";
 import * as frameCodec from "../../packages/anvilhinge/src/adapters/frame_codec.ts";
 import * as attempts from "../../packages/anvilhinge/src/agent/attempts.ts";
-import * as eventId from "../../packages/anvilhinge/src/entry/event_id.ts";
+import * as eventId from "../../packages/anvilhinge/src/entry/session/event_id.ts";
 import * as agentPb from "../../packages/anvilhinge/src/gen/anvilhinge/v1/agent_pb.ts";
 import type * as frames from "../../packages/anvilhinge/src/ports/frames.ts";
 import type * as fit from "./fit.ts";
