--- /dev/null
+++ b/packages/anvilhinge/src/adapters/direct_client.ts
@@ -0,0 +1,149 @@
+/**
+ * Calls upstreams directly over HTTP/1.1, one connection for each attempt: what
+ * is left of an earlier answer, or a connection that fell silent while idle,
+ * can't touch the attempt.
+ */
+import * as http from "node:http";
+import * as net from "node:net";
+import type * as agentClient from "../entry/session/agent_client.ts";
+import type * as runner from "../entry/session/runner.ts";
+import type * as engine from "../ports/engine.ts";
+import type * as frames from "../ports/frames.ts";
+import type * as upstreamDialect from "../ports/upstream_dialect.ts";
+import * as httpHeaders from "./http_headers.ts";
+
+export interface DirectClientOptions {
+  readonly dialect: upstreamDialect.UpstreamDialect;
+  /**
+   * Longest wait for a connection, in milliseconds; a lost packet costs a
+   * second and more, another try costs a round trip.
+   * @default 250
+   */
+  readonly connectTimeoutMs?: number;
+}
+
+const defaultConnectTimeoutMs = 250;
+const noLoad: engine.EngineLoad = { running: 0, queued: 0, stepUs: 0 };
+
+/** Creates a client of upstreams that have no agents. */
+export function createDirectClient(
+  options: DirectClientOptions,
+): runner.SessionClient {
+  return {
+    run: (attempt, stream) => runAttempt(attempt, { ...options, stream }),
+    resume(_request, stream) {
+      const message = "The upstream does not keep answers";
+      stream.onEnd({ kind: "broken", sent: true, message });
+    },
+    seal: () => Promise.resolve("unreachable"),
+    // The end of the connection ends the work.
+    cancel: () => {},
+  };
+}
+
+interface Call extends DirectClientOptions {
+  readonly stream: agentClient.StreamOptions;
+}
+
+function openConnection(
+  { stream, connectTimeoutMs = defaultConnectTimeoutMs }: Call,
+): net.Socket {
+  const end = stream.address.lastIndexOf(":");
+  const socket = net.connect({
+    host: stream.address.slice(0, end),
+    port: Number(stream.address.slice(end + 1)),
+    noDelay: true,
+  });
+  socket.setTimeout(connectTimeoutMs, () => {
+    socket.destroy(new Error("The connection took too long"));
+  });
+  socket.once("connect", () => socket.setTimeout(0));
+  return socket;
+}
+
+function runAttempt(attempt: frames.Attempt, call: Call): void {
+  const { work } = attempt;
+  if (work.kind !== "service") throw new Error("Expected a routed request");
+  const { stream, dialect } = call;
+  let sequence = 0;
+  let isConnected = false;
+  let isEnded = false;
+
+  function emitFrame(body: frames.FrameBody): void {
+    const { requestId, attemptId } = attempt;
+    stream.onFrame({ requestId, attemptId, sequence, body });
+    sequence += 1;
+  }
+
+  function end(ended: agentClient.StreamEnd): void {
+    if (isEnded) return;
+    isEnded = true;
+    stream.onEnd(ended);
+  }
+
+  function breakOff(message: string): void {
+    end({ kind: "broken", sent: isConnected, message });
+    request.destroy();
+  }
+
+  function handleResponse(response: http.IncomingMessage): void {
+    const head = {
+      status: response.statusCode ?? 0,
+      headers: httpHeaders.listEndToEnd(response.rawHeaders),
+    };
+    const meaning = dialect.interpretHead(head, attempt);
+    response.on("error", (error) => breakOff(error.message));
+    switch (meaning.kind) {
+      case "foreign":
+        return breakOff("The answer belongs to another request");
+      case "refused": {
+        const { reason, retryAfterMs } = meaning;
+        emitFrame({ kind: "refused", reason, retryAfterMs, load: noLoad });
+        isEnded = true;
+        request.destroy();
+        return;
+      }
+      case "answered":
+        return followAnswer(response, head);
+    }
+  }
+
+  function followAnswer(
+    response: http.IncomingMessage,
+    head: engine.AnswerHead,
+  ): void {
+    emitFrame({ kind: "accepted", incarnation: "", head });
+    response.on("data", (data: Buffer) => emitFrame({ kind: "chunk", data }));
+    response.on("close", () => {
+      if (isEnded) return;
+      if (!response.complete) return breakOff("The answer broke off");
+      emitFrame({ kind: "end", frameCount: sequence + 1, load: noLoad });
+      end({ kind: "closed" });
+    });
+  }
+
+  const request = http.request({
+    method: work.method,
+    path: work.path,
+    headers: [
+      ...work.headers,
+      ...dialect.encodeHeaders(attempt),
+      ["Connection", "close"] as const,
+      ...httpHeaders.buildBodyHeaders(work),
+    ].flat(),
+    setHost: false,
+    createConnection: () => openConnection(call),
+  });
+  request.on("socket", (socket) => {
+    socket.once("connect", () => {
+      isConnected = true;
+    });
+  });
+  request.on("response", handleResponse);
+  request.on("error", (error) => breakOff(error.message));
+  stream.signal.addEventListener("abort", () => {
+    isEnded = true;
+    request.destroy();
+  }, { once: true });
+  request.end(work.body.byteLength === 0 ? undefined : work.body);
+}
--- /dev/null
+++ b/packages/anvilhinge/src/adapters/http_headers.ts
@@ -0,0 +1,58 @@
+/** Headers that concern one connection only, and those that describe bodies. */
+
+export type HeaderPair = readonly [name: string, value: string];
+
+/** Headers of one connection (RFC 9110, section 7.6.1). */
+const connectionHeaders: ReadonlySet<string> = new Set([
+  "connection",
+  "keep-alive",
+  "proxy-connection",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+]);
+
+/** Lists the names that a `Connection` header declares as its own. */
+function listDeclared(raw: readonly string[]): ReadonlySet<string> {
+  const declared = new Set<string>();
+  for (let index = 0; index + 1 < raw.length; index += 2) {
+    if ((raw[index] as string).toLowerCase() !== "connection") continue;
+    for (const name of (raw[index + 1] as string).split(",")) {
+      declared.add(name.trim().toLowerCase());
+    }
+  }
+  return declared;
+}
+
+/** Lists the headers that are passed on, from names and values in turn. */
+export function listEndToEnd(raw: readonly string[]): readonly HeaderPair[] {
+  const declared = listDeclared(raw);
+  const kept: HeaderPair[] = [];
+  for (let index = 0; index + 1 < raw.length; index += 2) {
+    const name = raw[index] as string;
+    const lower = name.toLowerCase();
+    if (connectionHeaders.has(lower) || declared.has(lower)) continue;
+    kept.push([name, raw[index + 1] as string]);
+  }
+  return kept;
+}
+
+const bodylessMethods: readonly string[] = ["GET", "HEAD", "DELETE"];
+
+/** Returns the length of a request's body, where its headers lack it. */
+export function buildBodyHeaders(
+  request: {
+    readonly method: string;
+    readonly headers: readonly HeaderPair[];
+    readonly body: Uint8Array;
+  },
+): readonly HeaderPair[] {
+  const { method, headers, body } = request;
+  const hasLength = headers.some(([name]) =>
+    name.toLowerCase() === "content-length"
+  );
+  if (hasLength) return [];
+  const isBodyless = body.byteLength === 0 && bodylessMethods.includes(method);
+  return isBodyless ? [] : [["Content-Length", String(body.byteLength)]];
+}
--- a/packages/anvilhinge/src/agent/service.ts
+++ b/packages/anvilhinge/src/agent/service.ts
@@ -9,7 +9,7 @@
 import type * as frames from "../ports/frames.ts";
 import * as tracing from "../telemetry/tracing.ts";
 import type * as attempts from "./attempts.ts";
-import * as eventSplitter from "./event_splitter.ts";
+import * as eventSplitter from "../events/event_splitter.ts";
 
 export interface AgentServiceOptions {
   readonly attempts: attempts.Attempts;
--- a/packages/anvilhinge/src/entry/control/store_follower.ts
+++ b/packages/anvilhinge/src/entry/control/store_follower.ts
@@ -19,6 +19,11 @@
     objects: readonly objectStore.StoredObject[],
     version: number,
   ) => void;
+  /**
+   * Called when the store said that nothing newer existed at that instant of
+   * the scheduler's clock.
+   */
+  readonly onConfirmed?: (asOfMs: number) => void;
   /** Called when the store could not be reached. */
   readonly onUnavailable?: (message: string) => void;
   /**
@@ -27,6 +32,11 @@
    * @default 250
    */
   readonly retryDelayMs?: number;
+  /**
+   * Doublings after which the wait stops to grow.
+   * @default 5
+   */
+  readonly maxDoublings?: number;
 }
 
 export interface FollowOptions extends ListOptions {
@@ -47,6 +57,7 @@
       failures,
       baseMs: options.retryDelayMs ?? defaultRetryDelayMs,
       random: options.random,
+      maxDoublings: options.maxDoublings,
     });
     failures += 1;
     const { signal } = options;
@@ -54,10 +65,12 @@
   }
 
   async function list(): Promise<void> {
+    const asOfMs = options.scheduler.now();
     const outcome = await options.store.list(options.prefix);
     if (options.signal.aborted) return;
     if (outcome.kind === "unavailable") return retryLater(outcome.message);
     options.onList(outcome.objects, outcome.version);
+    options.onConfirmed?.(asOfMs);
   }
 
   if (!options.signal.aborted) void list();
@@ -66,21 +79,29 @@
 /** Follows the prefix until the signal aborts. */
 export function followPrefix(options: FollowOptions): void {
   const { signal } = options;
+  /** Watches in a row that ended without a word of the store. */
+  let failures = 0;
 
-  function listAgain(message: string): void {
+  function goOnLater(message: string, resumeFrom: number | undefined): void {
     options.onUnavailable?.(message);
     const delayMs = backoff.computeRetryDelayMs({
-      failures: 0,
+      failures,
       baseMs: options.retryDelayMs ?? defaultRetryDelayMs,
       random: options.random,
+      maxDoublings: options.maxDoublings,
     });
-    options.scheduler.schedule(listAndWatch, { delayMs, signal });
+    failures += 1;
+    options.scheduler.schedule(
+      () => resumeFrom === undefined ? listAndWatch() : startWatch(resumeFrom),
+      { delayMs, signal },
+    );
   }
 
   function listAndWatch(): void {
     listPrefix({
       ...options,
       onList(objects, version) {
+        failures = 0;
         options.onList(objects, version);
         if (!signal.aborted) startWatch(version);
       },
@@ -92,13 +113,16 @@
       sinceVersion,
       signal,
       onEvent(event) {
+        if (event.kind !== "closed") failures = 0;
         switch (event.kind) {
           case "changed":
             return options.onObject(event.object);
           case "removed":
             return options.onRemoved?.(event.key, event.version);
+          case "confirmed":
+            return options.onConfirmed?.(event.asOfMs);
           case "closed":
-            return listAgain(event.message);
+            return goOnLater(event.message, event.resumeFrom);
         }
       },
     });
--- /dev/null
+++ b/packages/anvilhinge/src/entry/routed_entry.ts
@@ -0,0 +1,191 @@
+/**
+ * An entry before routed services: callers connect to it directly, and it calls
+ * upstreams directly. Composes the parts and runs their life cycle.
+ */
+import * as nodeCrypto from "node:crypto";
+import * as http from "node:http";
+import * as random from "@anvilhinge/coordination/random";
+import * as directClient from "../adapters/direct_client.ts";
+import * as systemScheduler from "../adapters/system_scheduler.ts";
+import type * as callerDialect from "../ports/caller_dialect.ts";
+import type * as objectStore from "../ports/object_store.ts";
+import type * as scheduler from "../ports/scheduler.ts";
+import type * as upstreamDialect from "../ports/upstream_dialect.ts";
+import type * as routedProcess from "../settings/routed_process.ts";
+import * as logger from "../telemetry/logger.ts";
+import * as routedHttp from "./callers/routed_http.ts";
+import * as routedPolicy from "./choice/routed_policy.ts";
+import * as routingView from "./routing/routing_view.ts";
+
+/** Where callers that ask should connect. */
+export interface AddressAnswer {
+  /** Addresses as `host:port`. */
+  readonly addresses: readonly string[];
+  readonly ttlMs: number;
+}
+
+/** What the platform's adapters need of the entry. */
+export interface EntryPoints {
+  isReady(): boolean;
+  /** Returns undefined while no entry is known to be ready. */
+  findAddresses(
+    caller: { readonly failureDomain: string },
+  ): AddressAnswer | undefined;
+}
+
+/** Adapters between the entry and one platform. */
+export interface RoutedPlatform {
+  createStore(options: {
+    readonly address: string;
+    readonly scheduler: scheduler.Scheduler;
+    readonly signal: AbortSignal;
+  }): objectStore.ObjectStore;
+  readonly source: routingView.RoutingSource;
+  readonly callers: callerDialect.CallerDialect;
+  readonly upstreams: upstreamDialect.UpstreamDialect;
+  createReadinessHandler(points: EntryPoints): http.RequestListener;
+  createDirectoryHandler(points: EntryPoints): http.RequestListener;
+}
+
+export interface RoutedEntryOptions {
+  readonly settings: routedProcess.RoutedEntrySettings;
+  readonly platform: RoutedPlatform;
+  /** Asks for a graceful stop. */
+  readonly signal: AbortSignal;
+}
+
+/** Share of the revocation bound at which keys are no longer trusted. */
+const keyAgeShare = 0.88;
+/** Shortest time that callers keep an address answer; some keep it thrice. */
+const addressTtlMs = 1_500;
+const addressKeepFactor = 3;
+/** Time kept back at a stop to end in order. */
+const stopSlackMs = 400;
+const drainPollMs = 20;
+const maxHeaderBytes = 64 * 1024;
+
+function listen(
+  server: http.Server,
+  address: string,
+): Promise<void> {
+  const separator = address.lastIndexOf(":");
+  const host = address.slice(0, separator);
+  const port = Number(address.slice(separator + 1));
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(port, host, () => resolve());
+  });
+}
+
+/** Runs the entry until it is asked to stop; resolves when it has stopped. */
+export async function runRoutedEntry(
+  { settings, platform, signal }: RoutedEntryOptions,
+): Promise<void> {
+  const abort = new AbortController();
+  const clock = systemScheduler.createSystemScheduler();
+  const randomSource = random.createRandomSource(
+    nodeCrypto.randomInt(2 ** 31),
+  );
+  const log = logger.createLogger({
+    part: "entry",
+    level: settings.log.level,
+  });
+  log.info("Starts", { id: settings.id });
+  const state: routedHttp.RoutedState = {
+    isLeaving: false,
+    isClosed: false,
+    openRequests: 0,
+  };
+  let isReady = false;
+  const policy = routedPolicy.createRoutedPolicy({
+    scheduler: clock,
+    random: randomSource,
+    logger: log,
+  });
+  let setReady: () => void = () => {};
+  const viewReady = new Promise<void>((resolve) => (setReady = resolve));
+  const view = routingView.startRoutingView({
+    source: platform.source,
+    store: platform.createStore({
+      address: settings.store,
+      scheduler: clock,
+      signal: abort.signal,
+    }),
+    scheduler: clock,
+    random: randomSource,
+    logger: log,
+    signal: abort.signal,
+    onRouting: ({ settings: { limits } }) => {
+      callers.keepAliveTimeout = limits.idleTimeoutMs;
+      callers.headersTimeout = limits.headerTimeoutMs;
+    },
+    onUpstreams: policy.setUpstreams,
+    onReady: setReady,
+  });
+  const callers = http.createServer(
+    { maxHeaderSize: maxHeaderBytes, requestTimeout: 0 },
+    routedHttp.createRoutedHandler({
+      dialect: platform.callers,
+      view,
+      policy,
+      client: directClient.createDirectClient({ dialect: platform.upstreams }),
+      scheduler: clock,
+      random: randomSource,
+      logger: log,
+      state,
+      maxKeyAgeMs: keyAgeShare * settings.bounds.revocationMs,
+    }),
+  );
+  const points: EntryPoints = {
+    isReady: () => isReady && !state.isLeaving,
+    findAddresses: () =>
+      isReady && !state.isLeaving
+        ? { addresses: [settings.callers], ttlMs: addressTtlMs }
+        : undefined,
+  };
+  const readiness = http.createServer(platform.createReadinessHandler(points));
+  const directory = http.createServer(platform.createDirectoryHandler(points));
+
+  function wait(delayMs: number): Promise<void> {
+    return new Promise((resolve) => clock.schedule(resolve, { delayMs }));
+  }
+
+  async function stop(): Promise<void> {
+    const askedAtMs = clock.now();
+    const endAtMs = askedAtMs + settings.bounds.stopMs - stopSlackMs;
+    state.isLeaving = true;
+    log.info("Stops being handed out");
+    const keptMs = Math.min(
+      addressKeepFactor * addressTtlMs,
+      settings.bounds.stopMs / 2,
+    );
+    await wait(keptMs);
+    state.isClosed = true;
+    callers.close();
+    callers.closeIdleConnections();
+    log.info("Takes no new requests", { open: state.openRequests });
+    while (state.openRequests > 0 && clock.now() < endAtMs) {
+      await wait(drainPollMs);
+    }
+    log.info("Stopped", { open: state.openRequests });
+    abort.abort();
+    for (const server of [callers, readiness, directory]) {
+      server.close();
+      server.closeAllConnections();
+    }
+  }
+
+  await Promise.all([
+    listen(readiness, settings.readiness),
+    listen(directory, settings.directory),
+  ]);
+  await viewReady;
+  await listen(callers, settings.callers);
+  isReady = true;
+  log.info("Serves callers", { address: settings.callers });
+  await new Promise<void>((resolve) => {
+    if (signal.aborted) resolve();
+    else signal.addEventListener("abort", () => resolve(), { once: true });
+  });
+  await stop();
+}
--- a/packages/anvilhinge/src/entry/session/answer_buffer.ts
+++ b/packages/anvilhinge/src/entry/session/answer_buffer.ts
@@ -19,8 +19,11 @@
 export interface AnswerBuffer {
   /** Forgets what was not delivered and begins a new answer. */
   restart(): void;
-  /** Takes a part; returns what must be delivered now. */
-  add(part: Part): readonly Part[];
+  /** Takes a part; returns what must be delivered now, nothing if held. */
+  add(
+    part: Part,
+    options?: { readonly isHeld: boolean },
+  ): readonly Part[];
   takeAll(): readonly Part[];
   /** Whether any part was delivered. */
   hasDelivered(): boolean;
@@ -45,13 +48,14 @@
       held = [];
       heldBytes = 0;
     },
-    add(part) {
+    add(part, { isHeld } = { isHeld: false }) {
       held.push(part);
       // The head waits for the first data, so that work that fails before it
       // can still be retried elsewhere.
       if (part.kind === "head") return [];
       heldBytes += part.data.byteLength;
-      const isDue = options.isStreamed || hasDelivered ||
+      const isStreamed = options.isStreamed && !isHeld;
+      const isDue = isStreamed || hasDelivered ||
         heldBytes > options.limitBytes;
       return isDue ? takeAll() : [];
     },
--- a/packages/anvilhinge/src/entry/session/attempt_state.ts
+++ b/packages/anvilhinge/src/entry/session/attempt_state.ts
@@ -23,6 +23,8 @@
   resumes: number;
   /** True when the agent is known to have started it. */
   isStarted: boolean;
+  /** Status of its answer; 0 before. */
+  status: number;
   /** True when its end was reported, or another entry reports it. */
   isObserved: boolean;
 }
@@ -44,6 +46,7 @@
     nextSequence: 0,
     resumes: 0,
     isStarted: false,
+    status: 0,
     isObserved: false,
   };
 }
@@ -80,13 +83,17 @@
 export function buildAttempt(
   request: types.Request,
   state: AttemptState,
-  { deadlineMs }: { readonly deadlineMs: number },
+  { deadlineMs, resumeAfter }: {
+    readonly deadlineMs: number;
+    readonly resumeAfter?: string;
+  },
 ): frames.Attempt {
   const { upstream } = state;
   return {
     requestId: request.requestId,
     attemptId: state.attemptId,
     workspace: request.workspace,
+    upstreamId: upstream.id,
     half: upstream.half,
     epoch: upstream.epoch,
     group: upstream.group,
@@ -97,6 +104,7 @@
     startByMs: state.startByMs,
     isRepeatable: request.isRepeatable,
     work: request.work,
+    resumeAfter,
   };
 }
 
--- a/packages/anvilhinge/src/entry/session/runner.ts
+++ b/packages/anvilhinge/src/entry/session/runner.ts
@@ -22,24 +22,35 @@
   answer(final: session.FinalAnswer): void;
 }
 
+/** The way to upstreams: their agents, or the upstreams themselves. */
+export type SessionClient = Omit<agentClient.AgentClient, "describe">;
+
+/** What only sessions before agents need. */
+export interface AgentParts {
+  readonly clocks: agentClocks.AgentClocks;
+  readonly claims: claimStore.ClaimStore;
+}
+
 export interface RunOptions {
   readonly request: session.Request;
   readonly session: session.Session;
-  readonly client: agentClient.AgentClient;
-  readonly clocks: agentClocks.AgentClocks;
-  readonly claims: claimStore.ClaimStore;
+  readonly client: SessionClient;
+  /** Undefined where no agents stand before the upstreams. */
+  readonly agents?: AgentParts;
   readonly scheduler: scheduler.Scheduler;
   readonly sink: AnswerSink;
   /** Aborts when the caller has gone. */
   readonly callerSignal: AbortSignal;
   /** Headers of each call to an agent, for example the trace context. */
-  readonly headers: Readonly<Record<string, string>>;
+  readonly headers?: Readonly<Record<string, string>>;
   /** Called when an attempt begins; `onObserve` follows when it ends. */
   readonly onDispatch: (upstream: session.Upstream) => void;
   readonly onObserve: (
     observation: Extract<session.SessionEffect, { kind: "observe" }>,
   ) => void;
   readonly onDrop?: () => void;
+  /** Takes the function by which decisions on a waiting session come in. */
+  readonly onFeed?: (feed: (event: session.SessionEvent) => void) => void;
 }
 
 type Effect<Kind extends session.SessionEffect["kind"]> = Extract<
@@ -49,12 +60,17 @@
 
 /** Runs the session until it is done; resolves then. */
 export function runSession(options: RunOptions): Promise<void> {
-  const { request, client, claims, clocks } = options;
+  const { request, client } = options;
   /** Streams by attempt id; a resumed stream replaces the one before it. */
   const streams = new Map<string, AbortController>();
   const events: session.SessionEvent[] = [];
   let isFeeding = false;
 
+  function requireAgents(): AgentParts {
+    if (options.agents !== undefined) return options.agents;
+    throw new Error("A session without agents asked for one");
+  }
+
   return new Promise((resolve) => {
     const timers = sessionTimers.createSessionTimers({
       scheduler: options.scheduler,
@@ -95,7 +111,9 @@
         signal: abort.signal,
         onFrame(frame) {
           if (abort.signal.aborted) return;
-          if (isOutdated(frame)) clocks.forget(upstream.address);
+          if (isOutdated(frame)) {
+            options.agents?.clocks.forget(upstream.address);
+          }
           feed({ kind: "frame", frame });
         },
         onEnd(end) {
@@ -115,6 +133,7 @@
     async function prepare(
       { attemptId, upstream }: Effect<"prepare">,
     ): Promise<void> {
+      const { clocks } = requireAgents();
       // What must not run twice asks the agent itself, so that a claim names
       // the incarnation of this moment.
       const known = request.isRepeatable
@@ -129,6 +148,7 @@
     async function claim(
       { claim, replaces }: Effect<"claim">,
     ): Promise<void> {
+      const { claims } = requireAgents();
       const result = await claims.submit({ kind: "claim", claim, replaces });
       const { attemptId } = claim;
       feed({ kind: "claim_answered", attemptId, result });
@@ -143,6 +163,7 @@
     async function find(): Promise<void> {
       const { workspace, requestId } = request;
       const name = { workspace, requestId };
+      const { claims } = requireAgents();
       const result = await claims.submit({ kind: "find", name });
       feed({ kind: "found", result });
     }
@@ -150,6 +171,7 @@
     function settle({ attemptId, state, claim }: Effect<"settle">): void {
       const { workspace, requestId } = request;
       const name = { workspace, requestId };
+      const { claims } = requireAgents();
       void claims.submit({ kind: "settle", name, attemptId, state, claim });
     }
 
@@ -208,6 +230,7 @@
       () => feed({ kind: "caller_gone" }),
       { once: true },
     );
+    options.onFeed?.(feed);
     feed({ kind: "arrived" });
   });
 }
--- a/packages/anvilhinge/src/entry/session/session.ts
+++ b/packages/anvilhinge/src/entry/session/session.ts
@@ -24,6 +24,7 @@
   const { shared, buffer, maxAttempts, observe, raiseRan } = core;
   const { finish, finishNotRun, finishUnknown, startAttempt, sendResume } =
     core;
+  const { beginAttempt } = core;
   const { handlePrepared, handleClaimAnswer, handleFound } = sessionClaims
     .createClaimSteps(core);
   const { handleFrame, handleLost, handleStall, handleSealAnswer } =
@@ -47,6 +48,7 @@
   function handleDeadline(): Effects {
     const message = "The deadline passed before the answer was complete";
     const state = shared.current;
+    if (shared.isWaiting) return finishNotRun(message, 0);
     if (state === undefined) return finishUnknown(message);
     if (state.phase === "preparing" || state.phase === "claiming") {
       return abortUnsent(state, message);
@@ -85,13 +87,15 @@
 
   function handleCallerGone(): Effects {
     const state = shared.current;
+    if (shared.isWaiting) shared.isDone = true;
     if (state === undefined) return [];
     if (state.phase === "preparing" || state.phase === "claiming") {
       shared.isDone = true;
       return [...observe(state, "completed"), ...settleUnsent(state)];
     }
     // What must not run twice is followed to its end for the record.
-    if (!request.isRepeatable) return [];
+    const isRecorded = !request.isRepeatable && options.gate !== "none";
+    if (isRecorded) return [];
     shared.isDone = true;
     shared.current = undefined;
     const observed = observe(state, "completed");
@@ -131,6 +135,12 @@
               isCurrent(event.attemptId, "preparing")
             ? handlePrepared(shared.current, event.outcome)
             : [];
+        case "granted":
+          return shared.isWaiting ? beginAttempt(event.upstream) : [];
+        case "denied":
+          return shared.isWaiting
+            ? finishNotRun(event.reason, event.retryAfterMs)
+            : [];
         case "claim_answered":
           return shared.current !== undefined &&
               isCurrent(event.attemptId, "claiming")
--- a/packages/anvilhinge/src/entry/session/session_claims.ts
+++ b/packages/anvilhinge/src/entry/session/session_claims.ts
@@ -25,7 +25,7 @@
 
 /** Creates the steps on the core of a session. */
 export function createClaimSteps(core: sessionCore.SessionCore): ClaimSteps {
-  const { request, options, shared, observe, watchStall } = core;
+  const { request, options, shared, observe, dispatch } = core;
   const { finish, finishNotRun, finishUnknown, retryNotRun, sendSeal } = core;
 
   function handlePrepared(
@@ -47,16 +47,6 @@
     }];
   }
 
-  function dispatch(state: attemptState.AttemptState): Effects {
-    state.phase = "sent";
-    const deadlineMs = request.deadlineAtMs - options.clock.now();
-    const attempt = attemptState.buildAttempt(request, state, { deadlineMs });
-    return [
-      { kind: "dispatch", upstream: state.upstream, attempt },
-      watchStall(),
-    ];
-  }
-
   function handleClaimAnswer(
     state: attemptState.AttemptState,
     result: claims.ClaimResult,
--- a/packages/anvilhinge/src/entry/session/session_core.ts
+++ b/packages/anvilhinge/src/entry/session/session_core.ts
@@ -5,6 +5,7 @@
 import type * as engine from "../../ports/engine.ts";
 import * as answerBuffer from "./answer_buffer.ts";
 import * as attemptState from "./attempt_state.ts";
+import * as eventCutter from "./event_cutter.ts";
 import type * as types from "./session_types.ts";
 
 export type Effects = types.SessionEffect[];
@@ -30,6 +31,8 @@
   pendingNotRun: NotRun | undefined;
   /** Whether any earlier attempt of this request ran. */
   ran: types.Ran;
+  /** True while no place at an upstream is granted. */
+  isWaiting: boolean;
   isDone: boolean;
 }
 
@@ -38,6 +41,8 @@
   readonly options: types.SessionOptions;
   readonly shared: SharedState;
   readonly buffer: answerBuffer.AnswerBuffer;
+  /** Cuts the answer into events; undefined for other deliveries. */
+  readonly cutter: eventCutter.EventCutter | undefined;
   readonly recorder: answerBuffer.AnswerRecorder;
   readonly maxAttempts: number;
   /** Raises what is known of the effects of earlier attempts. */
@@ -54,8 +59,14 @@
   ): Effects;
   watchStall(): types.SessionEffect;
   startAttempt(): Effects;
+  /** Begins an attempt at a chosen upstream. */
+  beginAttempt(upstream: types.Upstream): Effects;
+  /** Sends an attempt that needs nothing more. */
+  dispatch(state: attemptState.AttemptState): Effects;
   /** Goes on after an attempt that surely did not run. */
   retryNotRun(reason: string, retryAfterMs: number): Effects;
+  /** Goes on after an attempt of which nothing left this node. */
+  retryUnsent(reason: string): Effects;
   /** Goes on after an attempt that ran, or may have run, without completing. */
   retryUncertain(
     state: attemptState.AttemptState,
@@ -66,6 +77,8 @@
 }
 
 const defaultMaxAttempts = 4;
+/** Upstreams that one request tries to reach at most. */
+const maxUnsent = 4;
 const defaultStallMs = 5_000;
 const defaultWholeAnswerLimitBytes = 8 * 1024 * 1024;
 
@@ -77,11 +90,14 @@
   const maxAttempts = options.maxAttempts ?? defaultMaxAttempts;
   const stallMs = options.stallMs ?? defaultStallMs;
   const buffer = answerBuffer.createAnswerBuffer({
-    isStreamed: request.delivery === "streamed" ||
+    isStreamed: request.delivery !== "whole" ||
       options.resumePoint !== undefined,
     limitBytes: options.wholeAnswerLimitBytes ?? defaultWholeAnswerLimitBytes,
   });
   const recorder = answerBuffer.createAnswerRecorder();
+  const cutter = request.delivery === "events"
+    ? eventCutter.createEventCutter(request.resumeAfter)
+    : undefined;
   const tried = new Set<string>();
   const shared: SharedState = {
     attempts: 0,
@@ -90,6 +106,7 @@
     isNameClear: request.isRepeatable || !request.isNamed,
     pendingNotRun: undefined,
     ran: "no",
+    isWaiting: false,
     isDone: false,
   };
 
@@ -145,17 +162,42 @@
       return finishNotRun(reason, 0);
     }
     const choice = options.chooseUpstream(tried);
-    if (choice.kind === "none") {
-      return finishNotRun(choice.reason, choice.retryAfterMs);
+    switch (choice.kind) {
+      case "none":
+        return finishNotRun(choice.reason, choice.retryAfterMs);
+      case "wait":
+        shared.isWaiting = true;
+        return [];
+      case "chosen":
+        return beginAttempt(choice.upstream);
     }
-    const { upstream } = choice;
+  }
+
+  function beginAttempt(upstream: types.Upstream): Effects {
+    shared.isWaiting = false;
     shared.attempts += 1;
     tried.add(upstream.id);
     const attemptId = options.createAttemptId();
     buffer.restart();
     recorder.restart();
-    shared.current = attemptState.createAttemptState(attemptId, upstream);
-    return [{ kind: "prepare", upstream, attemptId }];
+    cutter?.restart();
+    const state = attemptState.createAttemptState(attemptId, upstream);
+    shared.current = state;
+    return options.gate === "none"
+      ? dispatch(state)
+      : [{ kind: "prepare", upstream, attemptId }];
+  }
+
+  function dispatch(state: attemptState.AttemptState): Effects {
+    state.phase = "sent";
+    const attempt = attemptState.buildAttempt(request, state, {
+      deadlineMs: request.deadlineAtMs - options.clock.now(),
+      resumeAfter: cutter?.getLastId() ?? request.resumeAfter,
+    });
+    return [
+      { kind: "dispatch", upstream: state.upstream, attempt },
+      watchStall(),
+    ];
   }
 
   /** Goes on after an attempt that surely did not run. */
@@ -165,6 +207,15 @@
     return mayRetry ? startAttempt() : finishNotRun(reason, retryAfterMs);
   }
 
+  /** Goes on after an attempt of which nothing left this node. */
+  function retryUnsent(reason: string): Effects {
+    if (options.gate !== "none") return retryNotRun(reason, 0);
+    // No upstream saw it: it counts neither as a retry nor as an attempt.
+    shared.current = undefined;
+    shared.attempts -= 1;
+    return tried.size < maxUnsent ? startAttempt() : finishNotRun(reason, 0);
+  }
+
   /** Goes on after an attempt that ran, or may have run, without completing. */
   function retryUncertain(
     state: attemptState.AttemptState,
@@ -173,7 +224,9 @@
     if (!request.isRepeatable) return finishUnknown(message);
     raiseRan(state.isStarted ? "yes" : "unknown");
     shared.current = undefined;
-    const mayRetry = !buffer.hasDelivered() && shared.attempts < maxAttempts &&
+    // Events that were delivered whole are not asked for again.
+    const canGoOn = cutter !== undefined || !buffer.hasDelivered();
+    const mayRetry = canGoOn && shared.attempts < maxAttempts &&
       options.takeRetry();
     return mayRetry
       ? startAttempt()
@@ -200,6 +253,7 @@
     options,
     shared,
     buffer,
+    cutter,
     recorder,
     maxAttempts,
     raiseRan,
@@ -209,7 +263,10 @@
     observe,
     watchStall,
     startAttempt,
+    beginAttempt,
+    dispatch,
     retryNotRun,
+    retryUnsent,
     retryUncertain,
     sendResume,
     sendSeal,
--- a/packages/anvilhinge/src/entry/session/session_frames.ts
+++ b/packages/anvilhinge/src/entry/session/session_frames.ts
@@ -24,12 +24,17 @@
 }
 
 const defaultMaxResumes = 3;
+const firstFailureStatus = 500;
+
+function isFailure(status: number): boolean {
+  return status >= firstFailureStatus;
+}
 
 /** Creates the steps on the core of a session. */
 export function createFrameSteps(core: sessionCore.SessionCore): FrameSteps {
-  const { request, options, shared, buffer, recorder } = core;
+  const { request, options, shared, buffer, recorder, cutter } = core;
   const { observe, watchStall, finishUnknown, sendResume, sendSeal } = core;
-  const { retryNotRun, retryUncertain } = core;
+  const { retryNotRun, retryUnsent, retryUncertain } = core;
   const maxResumes = options.maxResumes ?? defaultMaxResumes;
 
   /** Goes on after the stream of frames broke off or fell silent. */
@@ -37,14 +42,15 @@
     state: attemptState.AttemptState,
     message: string,
   ): Effects {
-    const isFollowable = state.isStarted && state.resumes < maxResumes;
+    const isFollowable = options.gate !== "none" && state.isStarted &&
+      state.resumes < maxResumes;
     if (isFollowable) {
       state.resumes += 1;
       return sendResume(state);
     }
     const observed = observe(state, "lost");
     if (!request.isRepeatable) {
-      return state.isStarted
+      return state.isStarted || options.gate === "none"
         ? [...observed, ...finishUnknown(message)]
         : [...observed, ...sendSeal(state)];
     }
@@ -66,11 +72,12 @@
       return handleBroken(state, event.message);
     }
     shared.unrunAttemptId = state.attemptId;
-    return [...observe(state, "lost"), ...retryNotRun(event.message, 0)];
+    return [...observe(state, "lost"), ...retryUnsent(event.message)];
   }
 
   function handleStall(): Effects {
     if (shared.current?.phase !== "sent") return [];
+    if (!request.isRepeatable && options.gate === "none") return [];
     // Slow work that must not run twice goes on as long as its agent says so.
     return request.isRepeatable
       ? handleBroken(shared.current, "The upstream sent nothing for too long")
@@ -108,15 +115,16 @@
     switch (body.kind) {
       case "accepted":
         state.isStarted = true;
+        state.status = body.head.status;
         recorder.setHead(body.head);
-        buffer.add({ kind: "head", head: body.head, upstream, attemptId });
+        // A stream that goes on elsewhere keeps the head of its first answer.
+        if (!buffer.hasDelivered()) {
+          buffer.add({ kind: "head", head: body.head, upstream, attemptId });
+        }
         return [watchStall()];
       case "chunk":
         recorder.addData(body.data);
-        return [
-          ...buffer.add({ kind: "data", data: body.data, sequence }),
-          watchStall(),
-        ];
+        return [...applyData(state, body.data, sequence), watchStall()];
       case "end":
         return handleEnd(state, body);
       case "refused":
@@ -138,19 +146,68 @@
     }
   }
 
+  function applyData(
+    state: attemptState.AttemptState,
+    data: Uint8Array,
+    sequence: number,
+  ): Effects {
+    if (cutter === undefined || isFailure(state.status)) {
+      const isHeld = cutter !== undefined;
+      return [...buffer.add({ kind: "data", data, sequence }, { isHeld })];
+    }
+    const cut = cutter.push(data);
+    if (cut.kind === "misplaced") return handleBroken(state, cut.message);
+    return cut.data === undefined
+      ? []
+      : [...buffer.add({ kind: "data", data: cut.data, sequence })];
+  }
+
+  /** Goes on after a whole answer that reports a failure of the upstream. */
+  function handleFailure(
+    state: attemptState.AttemptState,
+    body: Body<"end">,
+  ): Effects {
+    const failed = observe(state, "failed", body);
+    const hasTries = request.isRepeatable && shared.attempts < core.maxAttempts;
+    // Part of a stream was delivered, which the failure does not continue.
+    if (buffer.hasDelivered()) {
+      const message = `Upstream ${state.upstream.id} answered ${state.status}`;
+      return [...failed, ...retryUncertain(state, message)];
+    }
+    if (!hasTries || !options.takeRetry()) return complete(state, failed);
+    core.raiseRan("yes");
+    shared.current = undefined;
+    return [...failed, ...core.startAttempt()];
+  }
+
   function handleEnd(
     state: attemptState.AttemptState,
     body: Body<"end">,
+  ): Effects {
+    if (options.gate === "none") {
+      if (isFailure(state.status)) return handleFailure(state, body);
+      if (cutter?.hasRest()) {
+        return handleBroken(state, "The answer ended inside an event");
+      }
+    }
+    return complete(state, observe(state, "completed", body));
+  }
+
+  /** Delivers what is held and ends the answer. */
+  function complete(
+    state: attemptState.AttemptState,
+    observed: Effects,
   ): Effects {
     shared.isDone = true;
     shared.current = undefined;
-    const settled: Effects = request.isRepeatable ? [] : [{
+    const isRecorded = !request.isRepeatable && options.gate !== "none";
+    const settled: Effects = !isRecorded ? [] : [{
       kind: "settle",
       attemptId: state.attemptId,
       state: { kind: "finished", answer: recorder.build() },
     }];
     return [
-      ...observe(state, "completed", body),
+      ...observed,
       ...settled,
       ...buffer.takeAll(),
       { kind: "end" },
--- a/packages/anvilhinge/src/entry/session/session_types.ts
+++ b/packages/anvilhinge/src/entry/session/session_types.ts
@@ -18,6 +18,8 @@
 
 export type Choice =
   | { readonly kind: "chosen"; readonly upstream: Upstream }
+  /** All upstreams are busy; a `granted` or `denied` event follows. */
+  | { readonly kind: "wait" }
   | {
     readonly kind: "none";
     readonly reason: string;
@@ -40,9 +42,12 @@
   readonly deadlineAtMs: number;
   /**
    * `streamed` delivers data as it arrives; `whole` holds it back until the
-   * end frame, so that an answer that breaks can be retried.
+   * end frame, so that an answer that breaks can be retried; `events` delivers
+   * whole server-sent events, so that a stream that breaks can go on elsewhere.
    */
-  readonly delivery: "streamed" | "whole";
+  readonly delivery: "streamed" | "whole" | "events";
+  /** Id of the last event that the caller has of an earlier answer. */
+  readonly resumeAfter?: string;
 }
 
 /** A point within the answer of an attempt that an earlier entry followed. */
@@ -52,7 +57,16 @@
   readonly fromSequence: number;
 }
 
+/**
+ * What stands before an upstream. `agent`: an agent that describes itself,
+ * admits claimed attempts and can seal them. `none`: the upstream itself; what
+ * may have reached it may have run.
+ */
+export type UpstreamGate = "agent" | "none";
+
 export interface SessionOptions {
+  /** @default "agent" */
+  readonly gate?: UpstreamGate;
   readonly clock: clock.Clock;
   /** Wall-clock time in milliseconds since 1970, for the age of claims. */
   readonly readWallMs: () => number;
@@ -102,6 +116,14 @@
     readonly attemptId: string;
     readonly outcome: Prepared;
   }
+  /** A place was found for a session that waits. */
+  | { readonly kind: "granted"; readonly upstream: Upstream }
+  /** A session that waits gets no place. */
+  | {
+    readonly kind: "denied";
+    readonly reason: string;
+    readonly retryAfterMs: number;
+  }
   | {
     readonly kind: "claim_answered";
     readonly attemptId: string;
--- a/packages/anvilhinge/src/ports/frames.ts
+++ b/packages/anvilhinge/src/ports/frames.ts
@@ -14,6 +14,7 @@
   | "sealed"
   | "overloaded"
   | "wrong_incarnation"
+  /** The address belongs to another group or upstream now. */
   | "wrong_group"
   /** The process beside the agent took no work. */
   | "engine_unavailable"
@@ -77,6 +78,8 @@
   readonly requestId: string;
   readonly attemptId: string;
   readonly workspace: string;
+  /** Id of the upstream that is meant. */
+  readonly upstreamId?: string;
   readonly half: string;
   readonly epoch: number;
   readonly group: string;
@@ -92,6 +95,8 @@
   /** False when a second run would have a second effect. */
   readonly isRepeatable: boolean;
   readonly work: Work;
+  /** Id of the event after which a stream goes on. */
+  readonly resumeAfter?: string;
 }
 
 /** An agent's incarnation and its clock, on which attempts expire. */
--- a/packages/anvilhinge/src/ports/object_store.ts
+++ b/packages/anvilhinge/src/ports/object_store.ts
@@ -27,8 +27,15 @@
 export type WatchEvent =
   | { readonly kind: "changed"; readonly object: StoredObject }
   | { readonly kind: "removed"; readonly key: string; readonly version: number }
-  /** The watch ended; the watcher lists again and starts a new one. */
-  | { readonly kind: "closed"; readonly message: string };
+  /** Nothing newer existed at an instant of the own clock. */
+  | { readonly kind: "confirmed"; readonly asOfMs: number }
+  /** The watch ended; the watcher starts a new one. */
+  | {
+    readonly kind: "closed";
+    readonly message: string;
+    /** Version from which a new watch may go on; undefined = list again. */
+    readonly resumeFrom?: number;
+  };
 
 export interface WatchOptions {
   /** Only events with a version above this one are delivered. */
--- a/packages/anvilhinge/src/settings/document.ts
+++ b/packages/anvilhinge/src/settings/document.ts
@@ -1,187 +1,22 @@
-/**
- * Settings documents: JSON with comments, checked against a schema, with a
- * place in the file for every problem.
- */
-import * as jsonc from "jsonc-parser";
+/** Settings documents, checked against a schema. */
 import type * as zod from "zod";
+import * as documentText from "./document_text.ts";
 import * as knownKeys from "./known_keys.ts";
-import * as nearestName from "./nearest_name.ts";
 
-export type DocumentPath = readonly (string | number)[];
-
-/** Place in a text; both numbers begin at 1. */
-export interface Position {
-  readonly line: number;
-  readonly column: number;
-}
-
-/** One reason why settings are refused. */
-export interface Problem extends Position {
-  readonly file: string;
-  /** Path inside the document such as `operators[0].name`; empty at the root. */
-  readonly path: string;
-  readonly message: string;
-  /** What to do about it; empty when the message says it all. */
-  readonly hint: string;
-}
-
-export interface Invalid {
-  readonly kind: "invalid";
-  readonly problems: readonly Problem[];
-}
-
-/** Settings with all defaults filled in, or all reasons against them. */
-export type CheckOutcome<Settings> =
-  | { readonly kind: "valid"; readonly settings: Settings }
-  | Invalid;
-
-export interface Document {
-  /** Text that was parsed. */
-  readonly text: string;
-  readonly value: unknown;
-  /** Returns the place of a value, or of its nearest existing parent. */
-  locate(path: DocumentPath): Position;
-  /** Returns the place of a key of the object at `path`. */
-  locateKey(path: DocumentPath, key: string): Position;
-}
-
-export type ParseOutcome =
-  | { readonly kind: "parsed"; readonly document: Document }
-  | Invalid;
-
-export interface DocumentOptions {
-  /** File name that problems name. */
-  readonly file: string;
-}
+export * from "./document_text.ts";
 
 export interface CheckOptions<Schema extends zod.ZodType>
-  extends DocumentOptions {
+  extends documentText.DocumentOptions {
   readonly schema: Schema;
 }
 
-function computePosition(text: string, offset: number): Position {
-  const lines = text.slice(0, offset).split(/\r\n|\r|\n/);
-  return { line: lines.length, column: lines.at(-1)!.length + 1 };
-}
-
-/** Formats a path as `operators[0].name`. */
-export function formatPath(path: DocumentPath): string {
-  return path
-    .map((key) => typeof key === "number" ? `[${key}]` : `.${key}`)
-    .join("")
-    .replace(/^\./, "");
-}
-
-function findNode(root: jsonc.Node, path: DocumentPath): jsonc.Node {
-  const node = jsonc.findNodeAtLocation(root, [...path]);
-  if (node !== undefined || path.length === 0) return node ?? root;
-  return findNode(root, path.slice(0, -1));
-}
-
-function findKeyNode(node: jsonc.Node, key: string): jsonc.Node | undefined {
-  return node.children?.map((property) => property.children?.[0])
-    .find((keyNode) => keyNode?.value === key);
-}
-
-function createDocument(text: string, root: jsonc.Node): Document {
-  return {
-    text,
-    value: jsonc.getNodeValue(root),
-    locate: (path) => computePosition(text, findNode(root, path).offset),
-    locateKey(path, key) {
-      const node = findNode(root, path);
-      const keyNode = findKeyNode(node, key) ?? node;
-      return computePosition(text, keyNode.offset);
-    },
-  };
-}
-
-function collectRepeatedKeys(node: jsonc.Node): readonly jsonc.Node[] {
-  const children = node.children ?? [];
-  const below = children.flatMap(collectRepeatedKeys);
-  if (node.type !== "object") return below;
-  const seen = new Set<unknown>();
-  const repeated = children.flatMap((property) => {
-    const keyNode = property.children?.[0];
-    if (keyNode === undefined) return [];
-    if (seen.has(keyNode.value)) return [keyNode];
-    seen.add(keyNode.value);
-    return [];
-  });
-  return [...repeated, ...below];
-}
-
-function describeSyntaxError(code: jsonc.ParseErrorCode): string {
-  const words = jsonc.printParseErrorCode(code)
-    .replace(/([a-z])([A-Z])/g, "$1 $2").toLowerCase();
-  return `Syntax error: ${words}`;
-}
-
-/** Parses JSON with comments; trailing commas are allowed. */
-export function parseDocument(
-  text: string,
-  { file }: DocumentOptions,
-): ParseOutcome {
-  const errors: jsonc.ParseError[] = [];
-  const root = jsonc.parseTree(text, errors, { allowTrailingComma: true });
-  const problems: Problem[] = errors.map((error) => ({
-    file,
-    ...computePosition(text, error.offset),
-    path: "",
-    message: describeSyntaxError(error.error),
-    hint: "",
-  }));
-  for (const keyNode of root === undefined ? [] : collectRepeatedKeys(root)) {
-    problems.push({
-      file,
-      ...computePosition(text, keyNode.offset),
-      path: formatPath(jsonc.getNodePath(keyNode.parent!)),
-      message: `Key "${keyNode.value}" stands twice in one object`,
-      hint: "Keep one of them",
-    });
-  }
-  if (root === undefined || problems.length > 0) {
-    return { kind: "invalid", problems };
-  }
-  return { kind: "parsed", document: createDocument(text, root) };
-}
-
-/** Creates the problem of one value in a parsed document. */
-export function createProblem(
-  document: Document,
-  options: {
-    readonly file: string;
-    readonly path: DocumentPath;
-    readonly message: string;
-    readonly hint?: string;
-  },
-): Problem {
-  return {
-    file: options.file,
-    ...document.locate(options.path),
-    path: formatPath(options.path),
-    message: options.message,
-    hint: options.hint ?? "",
-  };
-}
-
-/** Describes the nearest known name, or all of them when none is near. */
-export function describeKnownNames(
-  name: string,
-  known: readonly string[],
-): string {
-  const nearest = nearestName.findNearestName(name, known);
-  if (nearest !== undefined) return `Did you mean "${nearest}"?`;
-  return known.length === 0 ? "" : `Known names: ${known.join(", ")}`;
-}
-
 function listUnknownKeys(
-  document: Document,
+  document: documentText.Document,
   { issue, file, schema }: CheckOptions<zod.ZodType> & {
     readonly issue: zod.core.$ZodIssueUnrecognizedKeys;
   },
-): readonly Problem[] {
-  const path = issue.path as DocumentPath;
+): readonly documentText.Problem[] {
+  const path = issue.path as documentText.DocumentPath;
   const known = knownKeys.listKnownKeys(schema, {
     path,
     value: document.value,
@@ -189,47 +24,31 @@
   return issue.keys.map((key) => ({
     file,
     ...document.locateKey(path, key),
-    path: formatPath([...path, key]),
+    path: documentText.formatPath([...path, key]),
     message: `Unknown key "${key}"`,
-    hint: describeKnownNames(key, known),
+    hint: documentText.describeKnownNames(key, known),
   }));
 }
 
-function getValue(value: unknown, path: DocumentPath): unknown {
-  return path.reduce<unknown>(
-    (parent, key) => (parent as Record<string, unknown> | undefined)?.[key],
-    value,
-  );
-}
-
-function describeIssue(
-  issue: zod.core.$ZodIssue,
-  value: unknown,
-): { readonly message: string; readonly hint?: string } {
-  if (value === undefined && issue.code.startsWith("invalid_")) {
-    return { message: `Key "${String(issue.path.at(-1))}" is missing` };
-  }
-  if (issue.code === "invalid_value" && typeof value === "string") {
-    const hint = describeKnownNames(value, issue.values.map(String));
-    return { message: `Unknown value "${value}"`, hint };
-  }
-  return { message: issue.message };
-}
-
 /** Checks a parsed document against a schema. */
 export function checkDocument<Schema extends zod.ZodType>(
-  document: Document,
+  document: documentText.Document,
   { file, schema }: CheckOptions<Schema>,
-): CheckOutcome<zod.output<Schema>> {
+): documentText.CheckOutcome<zod.output<Schema>> {
   const result = schema.safeParse(document.value);
   if (result.success) return { kind: "valid", settings: result.data };
   const problems = result.error.issues.flatMap((issue) => {
     if (issue.code === "unrecognized_keys") {
       return listUnknownKeys(document, { issue, file, schema });
     }
-    const path = issue.path as DocumentPath;
-    const description = describeIssue(issue, getValue(document.value, path));
-    return [createProblem(document, { file, path, ...description })];
+    const path = issue.path as documentText.DocumentPath;
+    const description = documentText.describeIssue(
+      issue,
+      documentText.getValue(document.value, path),
+    );
+    return [
+      documentText.createProblem(document, { file, path, ...description }),
+    ];
   });
   return { kind: "invalid", problems };
 }
@@ -238,18 +57,8 @@
 export function checkText<Schema extends zod.ZodType>(
   text: string,
   options: CheckOptions<Schema>,
-): CheckOutcome<zod.output<Schema>> {
-  const parsed = parseDocument(text, options);
+): documentText.CheckOutcome<zod.output<Schema>> {
+  const parsed = documentText.parseDocument(text, options);
   if (parsed.kind === "invalid") return parsed;
   return checkDocument(parsed.document, options);
 }
-
-/** Formats problems for a terminal, one a line. */
-export function formatProblems(problems: readonly Problem[]): string {
-  return problems.map((problem) => {
-    const place = `${problem.file}:${problem.line}:${problem.column}`;
-    const path = problem.path === "" ? "" : ` ${problem.path}:`;
-    const hint = problem.hint === "" ? "" : `. ${problem.hint}`;
-    return `${place}:${path} ${problem.message}${hint}`;
-  }).join("\n");
-}
--- a/packages/anvilhinge/src/stand_ins/object_api.ts
+++ b/packages/anvilhinge/src/stand_ins/object_api.ts
@@ -71,7 +71,7 @@
 
 type ChangeEvent = Exclude<
   objectStore.WatchEvent,
-  { readonly kind: "closed" }
+  { readonly kind: "closed" | "confirmed" }
 >;
 
 interface Watcher {
--- a/scripts/check_names.cjs
+++ b/scripts/check_names.cjs
@@ -37,7 +37,7 @@
 }
 
 const verbs = readVerbs();
-const files = ["packages", "scripts"].flatMap((name) =>
+const files = ["packages", "platform", "scripts"].flatMap((name) =>
   listSources(path.join(root, name))
 );
 const problems = files.flatMap((file) => checkFile(file, verbs));
