--- a/packages/anvilhinge/src/adapters/direct_client.ts
+++ b/packages/anvilhinge/src/adapters/direct_client.ts
@@ -127,7 +127,7 @@
     path: work.path,
     headers: [
       ...work.headers,
-      ...dialect.encodeHeaders(attempt),
+      ...dialect.encodeHeaders(attempt, stream.upstreamId),
       ["Connection", "close"] as const,
       ...httpHeaders.buildBodyHeaders(work),
     ].flat(),
--- a/packages/anvilhinge/src/entry/control/store_follower.ts
+++ b/packages/anvilhinge/src/entry/control/store_follower.ts
@@ -82,7 +82,7 @@
   /** Watches in a row that ended without a word of the store. */
   let failures = 0;
 
-  function goOnLater(message: string, resumeFrom: number | undefined): void {
+  function scheduleNext(message: string, resumeFrom: number | undefined): void {
     options.onUnavailable?.(message);
     const delayMs = backoff.computeRetryDelayMs({
       failures,
@@ -122,7 +122,7 @@
           case "confirmed":
             return options.onConfirmed?.(event.asOfMs);
           case "closed":
-            return goOnLater(event.message, event.resumeFrom);
+            return scheduleNext(event.message, event.resumeFrom);
         }
       },
     });
--- a/packages/anvilhinge/src/entry/session/agent_client.ts
+++ b/packages/anvilhinge/src/entry/session/agent_client.ts
@@ -17,6 +17,8 @@
   };
 
 export interface StreamOptions {
+  /** Id of the upstream that is meant. */
+  readonly upstreamId?: string;
   readonly address: string;
   readonly headers?: Readonly<Record<string, string>>;
   readonly signal: AbortSignal;
--- a/packages/anvilhinge/src/entry/session/attempt_state.ts
+++ b/packages/anvilhinge/src/entry/session/attempt_state.ts
@@ -93,7 +93,6 @@
     requestId: request.requestId,
     attemptId: state.attemptId,
     workspace: request.workspace,
-    upstreamId: upstream.id,
     half: upstream.half,
     epoch: upstream.epoch,
     group: upstream.group,
--- a/packages/anvilhinge/src/entry/session/runner.ts
+++ b/packages/anvilhinge/src/entry/session/runner.ts
@@ -106,6 +106,7 @@
       const abort = new AbortController();
       streams.set(attemptId, abort);
       return {
+        upstreamId: upstream.id,
         address: upstream.address,
         headers: options.headers,
         signal: abort.signal,
--- a/packages/anvilhinge/src/ports/frames.ts
+++ b/packages/anvilhinge/src/ports/frames.ts
@@ -78,8 +78,6 @@
   readonly requestId: string;
   readonly attemptId: string;
   readonly workspace: string;
-  /** Id of the upstream that is meant. */
-  readonly upstreamId?: string;
   readonly half: string;
   readonly epoch: number;
   readonly group: string;
--- a/packages/anvilhinge/src/ports/upstream_dialect.ts
+++ b/packages/anvilhinge/src/ports/upstream_dialect.ts
@@ -22,7 +22,10 @@
 
 export interface UpstreamDialect {
   /** Headers that an attempt carries besides the caller's. */
-  encodeHeaders(attempt: frames.Attempt): HeaderPairs;
+  encodeHeaders(
+    attempt: frames.Attempt,
+    upstreamId: string | undefined,
+  ): HeaderPairs;
   interpretHead(
     head: engine.AnswerHead,
     attempt: frames.Attempt,
