--- /dev/null
+++ b/packages/coordination/src/maps/order_settler.ts
@@ -0,0 +1,98 @@
+/**
+ * Brings one order at one rank to an end that is known: sends it until the
+ * rank's own report shows that it is done or can't be done any more. An order
+ * whose answer is lost may be carried out seconds later, so sendings must be
+ * harmless whenever they arrive; see `switch_round.ts`. Deterministic: replies
+ * and states in, effects out.
+ */
+import * as rankOrders from "./rank_orders.ts";
+
+export interface SettlerOptions {
+  readonly order: rankOrders.RankOrder;
+  /** Epoch in which the order is given. */
+  readonly epoch: number;
+  /** Sendings after which the order is given up. */
+  readonly maxSendings: number;
+}
+
+export type SettlerEvent =
+  | { readonly kind: "state"; readonly state: rankOrders.RankState }
+  | { readonly kind: "reply"; readonly reply: rankOrders.OrderReply }
+  /** The rank's state can't be read. */
+  | { readonly kind: "silent" }
+  /** The time for the order is over. */
+  | { readonly kind: "deadline" };
+
+export type SettlerEffect =
+  /** Read the rank's state; `state` or `silent` follows. */
+  | { readonly kind: "read"; readonly afterMs: number }
+  /** Send the order; `reply` follows. */
+  | { readonly kind: "send"; readonly expected: number }
+  | { readonly kind: "finish"; readonly outcome: rankOrders.OrderOutcome };
+
+export interface Settler {
+  start(): readonly SettlerEffect[];
+  handle(event: SettlerEvent): readonly SettlerEffect[];
+}
+
+/** Time between two looks at a rank that copies experts. */
+const copyPollMs = 15;
+const retryReadMs = 10;
+
+/** Creates the machine for one order. */
+export function createSettler(options: SettlerOptions): Settler {
+  const { order, epoch } = options;
+  let sendings = 0;
+  let isCopying = false;
+  let isFinished = false;
+
+  function finish(
+    outcome: rankOrders.OrderOutcome,
+  ): readonly SettlerEffect[] {
+    isFinished = true;
+    return [{ kind: "finish", outcome }];
+  }
+
+  function giveUp(reason: string): readonly SettlerEffect[] {
+    return finish({ kind: "unsettled", reason });
+  }
+
+  function handleState(
+    state: rankOrders.RankState,
+  ): readonly SettlerEffect[] {
+    if (state.epoch !== epoch || !state.isOpen) {
+      const reason = "the group has another epoch or is broken";
+      return finish({ kind: "impossible", state, reason });
+    }
+    if (rankOrders.isDone(order, state)) return finish({ kind: "done", state });
+    if (isCopying) return [{ kind: "read", afterMs: copyPollMs }];
+    const reason = rankOrders.findObstacle(order, state);
+    if (reason !== undefined) {
+      return finish({ kind: "impossible", state, reason });
+    }
+    if (sendings >= options.maxSendings) {
+      return giveUp("no sending took effect");
+    }
+    sendings += 1;
+    return [{ kind: "send", expected: state.sequence }];
+  }
+
+  return {
+    start: () => [{ kind: "read", afterMs: 0 }],
+    handle(event) {
+      if (isFinished) return [];
+      switch (event.kind) {
+        case "state":
+          return handleState(event.state);
+        case "reply":
+          // The rank shows a prepared map only once it has copied it.
+          isCopying = event.reply === "accepted" && order.kind === "prepare";
+          return [{ kind: "read", afterMs: isCopying ? copyPollMs : 0 }];
+        case "silent":
+          return [{ kind: "read", afterMs: retryReadMs }];
+        case "deadline":
+          return giveUp("the time for the order is over");
+      }
+    },
+  };
+}
