--- a/packages/anvilhinge/src/adapters/direct_client.ts
+++ b/packages/anvilhinge/src/adapters/direct_client.ts
@@ -10,6 +10,7 @@
 import type * as engine from "../ports/engine.ts";
 import type * as frames from "../ports/frames.ts";
 import type * as upstreamDialect from "../ports/upstream_dialect.ts";
+import * as address from "./address.ts";
 import * as httpHeaders from "./http_headers.ts";
 
 export interface DirectClientOptions {
@@ -48,10 +49,8 @@
 function openConnection(
   { stream, connectTimeoutMs = defaultConnectTimeoutMs }: Call,
 ): net.Socket {
-  const end = stream.address.lastIndexOf(":");
   const socket = net.connect({
-    host: stream.address.slice(0, end),
-    port: Number(stream.address.slice(end + 1)),
+    ...address.parseAddress(stream.address),
     noDelay: true,
   });
   socket.setTimeout(connectTimeoutMs, () => {
--- /dev/null
+++ b/packages/anvilhinge/src/agent/ranks/map_duty.ts
@@ -0,0 +1,312 @@
+/**
+ * The duty of the leading agent of a group: watches which experts are in
+ * demand, plans a map that evens the ranks out, and switches the group to it.
+ * Ends holds that another leader left behind.
+ */
+import * as boundedPlanner from "@anvilhinge/coordination/maps/bounded_planner";
+import * as countsWindow from "@anvilhinge/coordination/maps/counts_window";
+import type * as mapVersions from "@anvilhinge/coordination/maps/map_versions";
+import type * as rankOrders from "@anvilhinge/coordination/maps/rank_orders";
+import * as switchRound from "@anvilhinge/coordination/maps/switch_round";
+import type * as rankEngine from "../../ports/rank_engine.ts";
+import type * as scheduler from "../../ports/scheduler.ts";
+import type * as routing from "../../settings/routing.ts";
+import type * as logger from "../../telemetry/logger.ts";
+import type * as rankCalls from "./rank_calls.ts";
+import type * as rankPeers from "./rank_peers.ts";
+
+/** Calls a rank; resolves to undefined when it did not answer in time. */
+export type CallRank = (
+  rank: number,
+  call: rankCalls.RankCall,
+  options: { readonly timeoutMs: number },
+) => Promise<rankCalls.RankAnswer | undefined>;
+
+export interface MapDutyOptions {
+  readonly engine: rankEngine.RankEngine;
+  readonly experts: routing.ExpertSpec;
+  readonly scheduler: scheduler.Scheduler;
+  readonly logger: logger.Logger;
+  readonly callRank: CallRank;
+  readonly createVersion: mapVersions.CreateMapVersion;
+  /** Most experts that one rank copies for one switch. */
+  readonly maxCopiesPerRank: number;
+}
+
+export interface MapDuty {
+  /**
+   * Takes one turn of the leader; resolves when it is over. Must not be called
+   * again before.
+   */
+  takeTurn(own: rankPeers.RankStatus): Promise<void>;
+  /** Forgets what it counted, for an agent that no longer leads. */
+  rest(): void;
+}
+
+/** A rank's report and experts, read in one call. */
+type Collected = Extract<rankCalls.RankAnswer, { readonly kind: "experts" }>;
+
+interface RoundResult {
+  readonly outcome: switchRound.RoundOutcome;
+  /** Time spent in each phase, in milliseconds. */
+  readonly phaseMs: Readonly<Partial<Record<switchRound.RoundPhase, number>>>;
+}
+
+interface GroupMap {
+  readonly layers: rankOrders.MapLayers;
+  readonly states: readonly rankOrders.RankState[];
+}
+
+const readTimeoutMs = 250;
+const orderTimeoutMs = 2_600;
+/** The users' target for the most loaded rank, over the mean. */
+const targetSkew = 1.3;
+/** Least part of the excess over the mean that a switch must take away. */
+const minExcessSaved = 0.25;
+/** Samples that must agree before a map is planned for them. */
+const minAgreeing = 2;
+const leadPasses = 2;
+/** Pause after a round that failed, in milliseconds. */
+const failurePauseMs = 300;
+
+/** Creates the duty of one agent. */
+export function createMapDuty(options: MapDutyOptions): MapDuty {
+  const { engine, experts, scheduler, logger } = options;
+  const window = countsWindow.createCountsWindow({
+    layerCount: experts.sets,
+    expertCount: experts.expertsPerSet,
+  });
+  let lastHeldStep = 0;
+  let countedEpoch: number | undefined;
+  let pausedUntilMs = -Infinity;
+  /** Pass of the last switch; the next round waits until it has begun. */
+  let switchStep = 0;
+
+  async function observe(): Promise<countsWindow.Popularity | undefined> {
+    const found = await engine.readCounts();
+    if (found === undefined) return undefined;
+    if (found.epoch !== countedEpoch) {
+      window.reset();
+      countedEpoch = found.epoch;
+    }
+    window.observe({ atMs: scheduler.now(), counts: found.counts });
+    return window.estimate();
+  }
+
+  async function collect(
+    own: rankPeers.RankStatus,
+  ): Promise<readonly Collected[] | undefined> {
+    const ranks = Array.from({ length: own.size }, (_, rank) => rank);
+    const answers = await Promise.all(
+      ranks.map((rank) =>
+        options.callRank(rank, { kind: "experts" }, {
+          timeoutMs: readTimeoutMs,
+        })
+      ),
+    );
+    const collected = answers.filter((answer) => answer?.kind === "experts");
+    return collected.length === own.size ? collected : undefined;
+  }
+
+  /** Joins what the ranks hold; undefined while they are not of one mind. */
+  function joinMap(
+    collected: readonly Collected[],
+    own: rankPeers.RankStatus,
+  ): GroupMap | undefined {
+    const ordered = [...collected].sort((a, b) =>
+      a.report.state.rank - b.report.state.rank
+    );
+    const [first] = ordered;
+    const isOne = ordered.every(({ report, experts: held }, rank) =>
+      report.state.rank === rank && report.state.epoch === own.epoch &&
+      held.epoch === own.epoch && held.version === first?.experts.version
+    );
+    if (!isOne) return undefined;
+    const layers = Array.from(
+      { length: experts.sets },
+      (_, layer) =>
+        ordered.map(({ experts: held }) => held.experts[layer] ?? []),
+    );
+    return { layers, states: ordered.map(({ report }) => report.state) };
+  }
+
+  function runRound(
+    own: rankPeers.RankStatus,
+    event: switchRound.RoundEvent,
+  ): Promise<RoundResult> {
+    const phaseMs: Partial<Record<switchRound.RoundPhase, number>> = {};
+    let phaseSinceMs = scheduler.now();
+    const round = switchRound.createSwitchRound({
+      holdRank: own.rank,
+      rankCount: own.size,
+      epoch: own.epoch,
+      leadPasses,
+      lastHeldStep,
+      createVersion: options.createVersion,
+    });
+    return new Promise((resolve) => {
+      function feed(next: switchRound.RoundEvent): void {
+        const phase = round.getPhase();
+        const effects = round.handle(next);
+        if (round.getPhase() !== phase) {
+          const nowMs = scheduler.now();
+          const spentMs = (phaseMs[phase] ?? 0) + nowMs - phaseSinceMs;
+          phaseMs[phase] = Math.round(spentMs);
+          phaseSinceMs = nowMs;
+        }
+        lastHeldStep = Math.max(lastHeldStep, round.getHeldStep());
+        for (const effect of effects) void execute(effect);
+      }
+
+      async function execute(effect: switchRound.RoundEffect): Promise<void> {
+        if (effect.kind === "finish") {
+          return resolve({ outcome: effect.outcome, phaseMs });
+        }
+        const { call, rank } = effect;
+        const answer = effect.kind === "read"
+          ? await options.callRank(rank, { kind: "report" }, {
+            timeoutMs: readTimeoutMs,
+          })
+          : await options.callRank(rank, {
+            kind: "order",
+            order: effect.order,
+            epoch: own.epoch,
+          }, { timeoutMs: orderTimeoutMs });
+        feed(convertAnswer(answer, { call, rank }));
+      }
+
+      feed(event);
+    });
+  }
+
+  async function clearHold(
+    own: rankPeers.RankStatus,
+    held: rankOrders.RankState,
+    inForce: rankOrders.MapLayers,
+  ): Promise<void> {
+    const heldStep = held.heldStep ?? 0;
+    logger.warn("Ends a hold that nobody follows", {
+      rank: held.rank,
+      heldStep,
+      epoch: own.epoch,
+    });
+    const { outcome } = await runRound(own, {
+      kind: "clear",
+      heldRank: held.rank,
+      heldStep,
+      inForce,
+    });
+    logger.info("Ended a hold", { rank: held.rank, heldStep, outcome });
+  }
+
+  async function switchMap(
+    own: rankPeers.RankStatus,
+    { map, popularity }: {
+      readonly map: GroupMap;
+      readonly popularity: countsWindow.Popularity;
+    },
+  ): Promise<void> {
+    const plan = boundedPlanner.planBounded({
+      map: { layers: map.layers },
+      shares: popularity.shares,
+      slotsPerRank: experts.slotsPerRank,
+      maxNewPerLayer: experts.maxNewPerRank,
+      maxNewPerRank: options.maxCopiesPerRank,
+    });
+    const { skewBefore, skewAfter, copies } = plan;
+    const saved = (skewBefore - skewAfter) / Math.max(1e-9, skewBefore - 1);
+    if (copies === 0 || saved < minExcessSaved) {
+      pausedUntilMs = scheduler.now() + failurePauseMs;
+      logger.debug("Keeps the map", { skewBefore, skewAfter, copies });
+      return;
+    }
+    const startedAtMs = scheduler.now();
+    const { outcome, phaseMs } = await runRound(own, {
+      kind: "start",
+      layers: plan.map.layers,
+      inForce: map.layers,
+      states: map.states,
+    });
+    const isSwitched = outcome.kind === "switched";
+    if (isSwitched) switchStep = outcome.step;
+    else pausedUntilMs = scheduler.now() + failurePauseMs;
+    logger.info(isSwitched ? "Switched the map" : "Kept the map", {
+      group: own.group,
+      epoch: own.epoch,
+      skewBefore: round(skewBefore),
+      skewAfter: round(skewAfter),
+      copies,
+      tookMs: Math.round(scheduler.now() - startedAtMs),
+      phaseMs,
+      outcome,
+    });
+  }
+
+  /** Skew of the map in force under the present demand, as a mean of layers. */
+  function isWorthwhile(
+    map: GroupMap,
+    { shares }: countsWindow.Popularity,
+  ): boolean {
+    const skews = map.layers.map((ranks, layer) =>
+      computeLayerSkew(ranks, shares[layer] ?? [])
+    );
+    const mean = skews.reduce((sum, skew) => sum + skew, 0) / skews.length;
+    return mean > targetSkew;
+  }
+
+  return {
+    async takeTurn(own) {
+      const popularity = await observe();
+      const isDue = popularity !== undefined &&
+        popularity.agreeing >= minAgreeing && own.step >= switchStep &&
+        scheduler.now() >= pausedUntilMs;
+      if (!isDue && own.heldStep === undefined) return;
+      const collected = await collect(own);
+      if (collected === undefined) {
+        pausedUntilMs = scheduler.now() + failurePauseMs;
+        return;
+      }
+      const map = joinMap(collected, own);
+      if (map === undefined) return;
+      const held = map.states.find(({ heldStep }) => heldStep !== undefined);
+      if (held !== undefined) return clearHold(own, held, map.layers);
+      if (popularity === undefined || !isWorthwhile(map, popularity)) return;
+      return switchMap(own, { map, popularity });
+    },
+    rest() {
+      window.reset();
+    },
+  };
+}
+
+function convertAnswer(
+  answer: rankCalls.RankAnswer | undefined,
+  { call, rank }: { readonly call: number; readonly rank: number },
+): switchRound.RoundEvent {
+  switch (answer?.kind) {
+    case "order":
+      return { kind: "outcome", call, rank, outcome: answer.outcome };
+    case "report":
+    case "experts":
+      return { kind: "state", call, state: answer.report.state };
+    case "silent":
+    case undefined:
+      return { kind: "late", call, rank };
+  }
+}
+
+function computeLayerSkew(
+  ranks: readonly (readonly number[])[],
+  shares: readonly number[],
+): number {
+  const holders = shares.map(() => 0);
+  for (const expert of ranks.flat()) holders[expert]! += 1;
+  const loads = ranks.map((held) =>
+    held.reduce((sum, expert) => sum + shares[expert]! / holders[expert]!, 0)
+  );
+  return Math.max(...loads) * ranks.length;
+}
+
+function round(value: number): number {
+  return Math.round(value * 100) / 100;
+}
--- /dev/null
+++ b/packages/anvilhinge/src/agent/ranks/order_runner.ts
@@ -0,0 +1,70 @@
+/** Brings orders at one engine to an end: runs the settling machine on it. */
+import * as orderSettler from "@anvilhinge/coordination/maps/order_settler";
+import type * as rankOrders from "@anvilhinge/coordination/maps/rank_orders";
+import type * as rankEngine from "../../ports/rank_engine.ts";
+import type * as scheduler from "../../ports/scheduler.ts";
+
+export interface RunOrderOptions {
+  readonly engine: rankEngine.RankEngine;
+  readonly scheduler: scheduler.Scheduler;
+  readonly order: rankOrders.RankOrder;
+  readonly epoch: number;
+  /** Time after which the order is given up, in milliseconds. */
+  readonly timeoutMs: number;
+}
+
+/** Sendings of one order; a third of them may get lost in a fault. */
+const maxSendings = 12;
+
+/** Runs one order; resolves to what became of it. */
+export function runOrder(
+  options: RunOrderOptions,
+): Promise<rankOrders.OrderOutcome> {
+  const { engine, scheduler, order, epoch } = options;
+  const settler = orderSettler.createSettler({ order, epoch, maxSendings });
+  const abort = new AbortController();
+
+  return new Promise((resolve) => {
+    function execute(effects: readonly orderSettler.SettlerEffect[]): void {
+      for (const effect of effects) {
+        switch (effect.kind) {
+          case "read":
+            scheduleRead(effect.afterMs);
+            break;
+          case "send":
+            void send(effect.expected);
+            break;
+          case "finish":
+            abort.abort();
+            resolve(effect.outcome);
+        }
+      }
+    }
+
+    function scheduleRead(delayMs: number): void {
+      if (delayMs === 0) return void read();
+      const { signal } = abort;
+      scheduler.schedule(() => void read(), { delayMs, signal });
+    }
+
+    async function read(): Promise<void> {
+      const report = await engine.readReport();
+      execute(settler.handle(
+        report === undefined
+          ? { kind: "silent" }
+          : { kind: "state", state: report.state },
+      ));
+    }
+
+    async function send(expected: number): Promise<void> {
+      const reply = await engine.sendOrder(order, { epoch, expected });
+      execute(settler.handle({ kind: "reply", reply }));
+    }
+
+    scheduler.schedule(() => execute(settler.handle({ kind: "deadline" })), {
+      delayMs: options.timeoutMs,
+      signal: abort.signal,
+    });
+    execute(settler.start());
+  });
+}
--- /dev/null
+++ b/packages/anvilhinge/src/agent/routed_agent.ts
@@ -0,0 +1,253 @@
+/**
+ * An agent beside a rank of a routed service: watches its engine, carries out
+ * the orders of the group's leader, and leads itself when its turn comes.
+ */
+import * as nodeCrypto from "node:crypto";
+import * as mapVersions from "@anvilhinge/coordination/maps/map_versions";
+import * as abortSignal from "../adapters/abort_signal.ts";
+import * as hostPort from "../adapters/address.ts";
+import * as datagrams from "../adapters/datagrams.ts";
+import * as systemScheduler from "../adapters/system_scheduler.ts";
+import type * as objectStore from "../ports/object_store.ts";
+import type * as rankEngine from "../ports/rank_engine.ts";
+import type * as scheduler from "../ports/scheduler.ts";
+import type * as routedProcess from "../settings/routed_process.ts";
+import type * as routing from "../settings/routing.ts";
+import * as logger from "../telemetry/logger.ts";
+import type * as routingView from "../entry/routing/routing_view.ts";
+import * as mapDuty from "./ranks/map_duty.ts";
+import * as rankCalls from "./ranks/rank_calls.ts";
+import * as rankPeers from "./ranks/rank_peers.ts";
+
+/** Adapters between the agent and one platform. */
+export interface AgentPlatform {
+  createStore(options: {
+    readonly address: string;
+    readonly scheduler: scheduler.Scheduler;
+    readonly signal: AbortSignal;
+  }): objectStore.ObjectStore;
+  readonly source: routingView.RoutingSource;
+  createRankEngine(options: {
+    readonly address: string;
+    readonly timeoutMs: number;
+    readonly signal: AbortSignal;
+  }): rankEngine.RankEngine;
+}
+
+export interface RoutedAgentOptions {
+  readonly settings: routedProcess.RoutedAgentSettings;
+  readonly platform: AgentPlatform;
+  /** Asks for a graceful stop. */
+  readonly signal: AbortSignal;
+}
+
+interface StatusMessage {
+  readonly kind: "status";
+  readonly status: rankPeers.RankStatus;
+}
+
+type Message =
+  | StatusMessage
+  | rankCalls.CallMessage
+  | rankCalls.AnswerMessage;
+
+/** Longest wait for the engine on the own machine. */
+const engineTimeoutMs = 60;
+const turnMs = 100;
+/** Turns between two statuses to all ranks, for the ranks that may lead next. */
+const candidateTurns = 2;
+/** The same for all others. */
+const helloTurns = 10;
+/**
+ * Orders are carried out up to 12 s late (the platform's page on troubles); a
+ * process that does not know what its predecessor held waits that long.
+ */
+const maxOrderDelayMs = 13_000;
+const maxCopiesPerRank = 2;
+/** Time between two reads of the store while something is unknown. */
+const storeRetryMs = 1_000;
+/** Time between two reads of the list of upstreams. */
+const storeRefreshMs = 15_000;
+
+function isMessage(message: unknown): message is Message {
+  const kind = (message as { readonly kind?: unknown } | null)?.kind;
+  return kind === "status" || kind === "call" || kind === "answer";
+}
+
+/** Runs the agent until it is asked to stop. */
+export async function runRoutedAgent(
+  { settings, platform, signal: asked }: RoutedAgentOptions,
+): Promise<void> {
+  const abort = new AbortController();
+  const { signal } = abort;
+  const clock = systemScheduler.createSystemScheduler();
+  const log = logger.createLogger({
+    part: "agent",
+    level: settings.log.level,
+  });
+  const startedAtMs = clock.now();
+  const engine = platform.createRankEngine({
+    address: settings.upstream,
+    timeoutMs: engineTimeoutMs,
+    signal,
+  });
+  const store = platform.createStore({
+    address: settings.store,
+    scheduler: clock,
+    signal,
+  });
+  const peers = rankPeers.createRankPeers({ clock });
+  const { port } = hostPort.parseAddress(settings.peers);
+  const own = hostPort.parseAddress(settings.peers);
+  let sockets: datagrams.Datagrams | undefined;
+  let addresses: readonly string[] = [];
+  let experts: routing.ExpertSpec | undefined;
+  let duty: mapDuty.MapDuty | undefined;
+  let firstEpoch: number | undefined;
+  let turns = 0;
+  let isLeading = false;
+  const calls = rankCalls.createRankCalls({
+    engine,
+    scheduler: clock,
+    sockets: () => sockets,
+    incarnation: nodeCrypto.randomUUID(),
+  });
+
+  function wait(delayMs: number): Promise<void> {
+    return new Promise((resolve) =>
+      clock.schedule(resolve, { delayMs, signal })
+    );
+  }
+
+  /** Learns the group's engines and where the other agents listen. */
+  async function readStore(): Promise<boolean> {
+    const [routingList, upstreams] = await Promise.all([
+      experts === undefined
+        ? store.list(platform.source.routingPrefix)
+        : undefined,
+      store.list(platform.source.upstreamsPrefix),
+    ]);
+    const found = routingList?.kind === "listed"
+      ? routingList.objects.flatMap((object) =>
+        platform.source.decodeRouting(object) ?? []
+      )[0]
+      : undefined;
+    experts ??= found?.services
+      .find(({ name }) => name === settings.service)?.engine?.experts;
+    if (upstreams.kind === "unavailable") return false;
+    const hosts = upstreams.objects
+      .flatMap((object) => platform.source.decodeUpstream(object) ?? [])
+      .filter(({ service }) => service === settings.service)
+      .map(({ address }) => hostPort.parseAddress(address).host)
+      .filter((host) => host !== own.host);
+    addresses = [...new Set(hosts)].map((host) => `${host}:${port}`);
+    return experts !== undefined && addresses.length > 0;
+  }
+
+  async function followStore(): Promise<void> {
+    while (!signal.aborted) {
+      const isKnown = await readStore();
+      await wait(isKnown ? storeRefreshMs : storeRetryMs);
+    }
+  }
+
+  function sendStatus(status: rankPeers.RankStatus): void {
+    const message: StatusMessage = { kind: "status", status };
+    const interval = peers.isCandidate() ? candidateTurns : helloTurns;
+    if (turns % interval !== 0) return;
+    for (const address of addresses) sockets?.send(message, address);
+  }
+
+  function canLead(epoch: number): boolean {
+    firstEpoch ??= epoch;
+    return settings.isFirstStart || epoch !== firstEpoch ||
+      clock.now() - startedAtMs > maxOrderDelayMs;
+  }
+
+  async function takeTurn(): Promise<void> {
+    const report = await engine.readReport();
+    turns += 1;
+    if (report === undefined) return;
+    const { state, group, size } = report;
+    const status: rankPeers.RankStatus = {
+      group,
+      size,
+      rank: state.rank,
+      epoch: state.epoch,
+      canLead: state.isOpen && experts !== undefined && canLead(state.epoch),
+      heldStep: state.heldStep,
+      step: state.step,
+    };
+    peers.setOwn(status);
+    sendStatus(status);
+    await lead(status);
+  }
+
+  async function lead(status: rankPeers.RankStatus): Promise<void> {
+    const leads = peers.isLeading();
+    if (leads !== isLeading) {
+      isLeading = leads;
+      log.info(leads ? "Leads the group" : "No longer leads the group", {
+        group: status.group,
+        rank: status.rank,
+        epoch: status.epoch,
+        live: peers.listLive().length + 1,
+      });
+    }
+    if (!leads || experts === undefined) {
+      duty?.rest();
+      return;
+    }
+    duty ??= mapDuty.createMapDuty({
+      engine,
+      experts,
+      scheduler: clock,
+      logger: log,
+      callRank,
+      createVersion: mapVersions.createMapVersions({
+        rank: status.rank,
+        readWallMs: Date.now,
+      }),
+      maxCopiesPerRank,
+    });
+    await duty.takeTurn(status);
+  }
+
+  const callRank: mapDuty.CallRank = async (rank, call, options) => {
+    if (rank === peers.getOwn()?.rank) return await calls.execute(call);
+    const peer = peers.find(rank);
+    return peer === undefined
+      ? undefined
+      : await calls.call(peer.address, call, options);
+  };
+
+  async function takeTurns(): Promise<void> {
+    while (!signal.aborted) {
+      await takeTurn();
+      await wait(turnMs);
+    }
+  }
+
+  sockets = await datagrams.openDatagrams({
+    address: settings.peers,
+    signal,
+    onFailure: (reason) => log.warnOnce(`datagrams/${reason}`, reason),
+    onMessage(message, from) {
+      if (!isMessage(message)) return;
+      switch (message.kind) {
+        case "status":
+          return peers.record(message.status, from);
+        case "call":
+          return calls.handleCall(message, from);
+        case "answer":
+          return calls.handleAnswer(message);
+      }
+    },
+  });
+  log.info("Starts", { id: settings.id, upstream: settings.upstream });
+  void followStore();
+  void takeTurns();
+  await abortSignal.waitForAbort(asked);
+  log.info("Stopped");
+  abort.abort();
+}
--- a/packages/anvilhinge/src/entry/routed_entry.ts
+++ b/packages/anvilhinge/src/entry/routed_entry.ts
@@ -5,6 +5,7 @@
 import * as nodeCrypto from "node:crypto";
 import * as http from "node:http";
 import * as random from "@anvilhinge/coordination/random";
+import * as hostPort from "../adapters/address.ts";
 import * as directClient from "../adapters/direct_client.ts";
 import * as systemScheduler from "../adapters/system_scheduler.ts";
 import type * as callerDialect from "../ports/caller_dialect.ts";
@@ -68,9 +69,7 @@
   server: http.Server,
   address: string,
 ): Promise<void> {
-  const separator = address.lastIndexOf(":");
-  const host = address.slice(0, separator);
-  const port = Number(address.slice(separator + 1));
+  const { host, port } = hostPort.parseAddress(address);
   return new Promise((resolve, reject) => {
     server.once("error", reject);
     server.listen(port, host, () => resolve());
--- a/packages/anvilhinge/src/settings/routed_process.ts
+++ b/packages/anvilhinge/src/settings/routed_process.ts
@@ -48,6 +48,10 @@
   peers: hostPort,
   /** Addresses of up to three entries; the port is not used. */
   seeds: zod.array(hostPort),
+  /** Address of the platform's store. */
+  store: hostPort,
+  /** True when the whole system starts for the first time. */
+  isFirstStart: zod.boolean(),
   log: zod.object({
     level: zod.enum(["trace", "debug", "info", "warn", "error"]),
   }),
@@ -61,8 +65,6 @@
   readiness: hostPort,
   /** Address for callers that ask where to connect. */
   directory: hostPort,
-  /** Address of the platform's store. */
-  store: hostPort,
   bounds,
 });
 
@@ -70,6 +72,8 @@
   ...shared,
   /** Address of the upstream beside which the agent runs. */
   upstream: hostPort,
+  /** Name of the service that the upstream belongs to. */
+  service: zod.string(),
 });
 
 export type RoutedEntrySettings = zod.output<typeof entrySchema>;
--- a/packages/coordination/src/maps/bounded_planner.ts
+++ b/packages/coordination/src/maps/bounded_planner.ts
@@ -126,7 +126,7 @@
   layer.holders[added]!.push(rank);
 }
 
-function revertMove(layer: Layer, move: Move): void {
+function restoreMove(layer: Layer, move: Move): void {
   const { expert, from, to, removed } = move;
   if (removed === undefined) {
     layer.ranks[to]!.pop();
@@ -233,7 +233,7 @@
       gain += before[rank]! ** evennessExponent -
         layer.loads[rank]! ** evennessExponent;
     }
-    revertMove(layer, move);
+    restoreMove(layer, move);
     for (const rank of touched) layer.loads[rank] = before[rank]!;
     return move.from === undefined ? gain : gain / 2;
   }
--- a/packages/coordination/src/maps/order_settler.ts
+++ b/packages/coordination/src/maps/order_settler.ts
@@ -53,7 +53,7 @@
     return [{ kind: "finish", outcome }];
   }
 
-  function giveUp(reason: string): readonly SettlerEffect[] {
+  function fail(reason: string): readonly SettlerEffect[] {
     return finish({ kind: "unsettled", reason });
   }
 
@@ -71,7 +71,7 @@
       return finish({ kind: "impossible", state, reason });
     }
     if (sendings >= options.maxSendings) {
-      return giveUp("no sending took effect");
+      return fail("no sending took effect");
     }
     sendings += 1;
     return [{ kind: "send", expected: state.sequence }];
@@ -91,7 +91,7 @@
         case "silent":
           return [{ kind: "read", afterMs: retryReadMs }];
         case "deadline":
-          return giveUp("the time for the order is over");
+          return fail("the time for the order is over");
       }
     },
   };
--- a/packages/coordination/src/maps/switch_round.ts
+++ b/packages/coordination/src/maps/switch_round.ts
@@ -91,13 +91,16 @@
   isDone(): boolean;
   /** Highest pass that this round tried to hold. */
   getHeldStep(): number;
+  getPhase(): RoundPhase;
 }
 
 type Effects = readonly RoundEffect[];
 
-type Phase =
+export type RoundPhase =
   | "idle"
   | "preparing"
+  /** Reads the pass of the own rank anew. */
+  | "locating"
   | "holding"
   | "arming"
   /** Reads all ranks again to find out how an unfinished switch can end. */
@@ -117,7 +120,7 @@
 export function createSwitchRound(options: RoundOptions): SwitchRound {
   const ranks = Array.from({ length: options.rankCount }, (_, rank) => rank);
   const states = new Map<number, rankOrders.RankState>();
-  let phase: Phase = "idle";
+  let phase: RoundPhase = "idle";
   let call = 0;
   let looks = 0;
   let holds = 0;
@@ -142,7 +145,7 @@
   }
 
   function orderRanks(
-    next: Phase,
+    next: RoundPhase,
     targets: readonly number[],
     createOrder: (rank: number) => rankOrders.RankOrder,
   ): Effects {
@@ -158,7 +161,7 @@
     }));
   }
 
-  function look(): Effects {
+  function readAll(): Effects {
     looks += 1;
     if (looks > maxLooks) return abort("The ranks could not be settled");
     phase = "looking";
@@ -167,6 +170,14 @@
     return ranks.map((rank) => ({ kind: "read", call, rank }));
   }
 
+  /** Reads the present pass, so that the switch is as near as it can be. */
+  function locate(): Effects {
+    phase = "locating";
+    call += 1;
+    open = new Set([options.holdRank]);
+    return [{ kind: "read", call, rank: options.holdRank }];
+  }
+
   function getHighest(): number {
     const known = [...states.values()].flatMap((state) => [
       state.mapVersion,
@@ -193,7 +204,7 @@
     return orderRanks("preparing", ranks, () => order);
   }
 
-  function hold(): Effects {
+  function holdPass(): Effects {
     holds += 1;
     const furthest = Math.max(
       ...[...states.values()].map((state) => state.step),
@@ -219,7 +230,9 @@
   function advance(): Effects {
     switch (phase) {
       case "preparing":
-        return hold();
+        return locate();
+      case "locating":
+        return holdPass();
       case "holding":
         return arm();
       case "arming":
@@ -257,7 +270,7 @@
     if (isWhole) return arm();
     if (armed !== undefined && armed.version !== armedBefore) {
       armedBefore = armed.version;
-      return look();
+      return readAll();
     }
     const targets = all.filter(isArmedHere).map((state) => state.rank);
     return orderRanks("disarming", targets, (rank) => ({
@@ -294,15 +307,17 @@
     switch (phase) {
       case "preparing":
         return abort(`Not prepared: ${reason}`);
+      case "locating":
+        return abort(`Not located: ${reason}`);
       case "holding":
         // A late hold is found by its report and ended by a later round.
-        return holds < maxHolds ? hold() : abort(`Not held: ${reason}`);
+        return holds < maxHolds ? holdPass() : abort(`Not held: ${reason}`);
       case "arming":
       case "looking":
       case "disarming":
       case "replacing":
       case "releasing":
-        return look();
+        return readAll();
       case "idle":
       case "done":
         return [];
@@ -326,9 +341,9 @@
           heldRank = event.heldRank;
           step = event.heldStep;
           inForce = event.inForce;
-          return look();
+          return readAll();
         case "state":
-          if (event.call !== call || phase !== "looking") return [];
+          if (event.call !== call || !open.has(event.state.rank)) return [];
           return handleState(event.state);
         case "outcome":
           if (event.call !== call || !open.has(event.rank)) return [];
@@ -339,6 +354,7 @@
       }
     },
     isDone: () => phase === "done",
+    getPhase: () => phase,
     getHeldStep: () => heldRank === options.holdRank ? step : 0,
   };
 }
