--- a/packages/anvilhinge/src/entry/session/session_core.ts
+++ b/packages/anvilhinge/src/entry/session/session_core.ts
@@ -130,9 +130,11 @@
       shared.pendingNotRun = { reason, retryAfterMs };
       return [{ kind: "find" }];
     }
-    const settled: Effects = shared.unrunAttemptId === undefined ? [] : [{
+    const isClaimed = shared.unrunAttemptId !== undefined &&
+      options.gate !== "none";
+    const settled: Effects = !isClaimed ? [] : [{
       kind: "settle",
-      attemptId: shared.unrunAttemptId,
+      attemptId: shared.unrunAttemptId ?? "",
       state: { kind: "not_run" },
     }];
     return [...settled, ...finish({ kind: "not_run", reason, retryAfterMs })];
