--- a/packages/anvilhinge/src/agent/ranks/map_duty.ts
+++ b/packages/anvilhinge/src/agent/ranks/map_duty.ts
@@ -29,6 +29,8 @@
   readonly logger: logger.Logger;
   readonly callRank: CallRank;
   readonly createVersion: mapVersions.CreateMapVersion;
+  /** Whether the epoch began after the process did. */
+  readonly isEpochNew: (epoch: number) => boolean;
   /** Most experts that one rank copies for one switch. */
   readonly maxCopiesPerRank: number;
 }
@@ -76,7 +78,8 @@
     layerCount: experts.sets,
     expertCount: experts.expertsPerSet,
   });
-  let lastHeldStep = 0;
+  let lastHeldStep: number | undefined;
+  let ledEpoch: number | undefined;
   let countedEpoch: number | undefined;
   let pausedUntilMs = -Infinity;
   /** Pass of the last switch; the next round waits until it has begun. */
@@ -141,7 +144,7 @@
       rankCount: own.size,
       epoch: own.epoch,
       leadPasses,
-      lastHeldStep,
+      lastHeldStep: lastHeldStep ?? 0,
       createVersion: options.createVersion,
     });
     return new Promise((resolve) => {
@@ -154,7 +157,7 @@
           phaseMs[phase] = Math.round(spentMs);
           phaseSinceMs = nowMs;
         }
-        lastHeldStep = Math.max(lastHeldStep, round.getHeldStep());
+        lastHeldStep = Math.max(lastHeldStep ?? 0, round.getHeldStep());
         for (const effect of effects) void execute(effect);
       }
 
@@ -254,8 +257,21 @@
     return mean > targetSkew;
   }
 
+  /** Notes which passes of this epoch the process may have held. */
+  function enterEpoch(own: rankPeers.RankStatus): void {
+    if (ledEpoch === own.epoch) return;
+    // Orders of an earlier epoch have no effect; those that this rank gave in
+    // this epoch before the process started are not known.
+    lastHeldStep = options.isEpochNew(own.epoch)
+      ? 0
+      : own.step + switchRound.maxAheadPasses;
+    ledEpoch = own.epoch;
+    switchStep = 0;
+  }
+
   return {
     async takeTurn(own) {
+      enterEpoch(own);
       const popularity = await observe();
       const isDue = popularity !== undefined &&
         popularity.agreeing >= minAgreeing && own.step >= switchStep &&
--- a/packages/anvilhinge/src/agent/routed_agent.ts
+++ b/packages/anvilhinge/src/agent/routed_agent.ts
@@ -58,11 +58,6 @@
 const candidateTurns = 2;
 /** The same for all others. */
 const helloTurns = 10;
-/**
- * Orders are carried out up to 12 s late (the platform's page on troubles); a
- * process that does not know what its predecessor held waits that long.
- */
-const maxOrderDelayMs = 13_000;
 const maxCopiesPerRank = 2;
 /** Time between two reads of the store while something is unknown. */
 const storeRetryMs = 1_000;
@@ -85,7 +80,6 @@
     part: "agent",
     level: settings.log.level,
   });
-  const startedAtMs = clock.now();
   const engine = platform.createRankEngine({
     address: settings.upstream,
     timeoutMs: engineTimeoutMs,
@@ -103,7 +97,8 @@
   let addresses: readonly string[] = [];
   let experts: routing.ExpertSpec | undefined;
   let duty: mapDuty.MapDuty | undefined;
-  let firstEpoch: number | undefined;
+  /** Epoch that was open when the process first looked. */
+  let firstOpenEpoch: number | undefined;
   let turns = 0;
   let isLeading = false;
   const calls = rankCalls.createRankCalls({
@@ -158,23 +153,22 @@
     for (const address of addresses) sockets?.send(message, address);
   }
 
-  function canLead(epoch: number): boolean {
-    firstEpoch ??= epoch;
-    return settings.isFirstStart || epoch !== firstEpoch ||
-      clock.now() - startedAtMs > maxOrderDelayMs;
+  function isEpochNew(epoch: number): boolean {
+    return settings.isFirstStart || epoch !== firstOpenEpoch;
   }
 
   async function takeTurn(): Promise<void> {
     const report = await engine.readReport();
-    turns += 1;
     if (report === undefined) return;
+    turns += 1;
     const { state, group, size } = report;
+    if (turns === 1 && state.isOpen) firstOpenEpoch = state.epoch;
     const status: rankPeers.RankStatus = {
       group,
       size,
       rank: state.rank,
       epoch: state.epoch,
-      canLead: state.isOpen && experts !== undefined && canLead(state.epoch),
+      canLead: state.isOpen && experts !== undefined,
       heldStep: state.heldStep,
       step: state.step,
     };
@@ -208,6 +202,7 @@
         rank: status.rank,
         readWallMs: Date.now,
       }),
+      isEpochNew,
       maxCopiesPerRank,
     });
     await duty.takeTurn(status);
--- a/packages/coordination/src/maps/switch_round.ts
+++ b/packages/coordination/src/maps/switch_round.ts
@@ -27,7 +27,11 @@
   readonly epoch: number;
   /** Passes between the furthest rank and the pass of the switch. */
   readonly leadPasses: number;
-  /** Highest pass that this leader has held; later ones must be above it. */
+  /**
+   * Highest pass that this leader may have held, also before it restarted;
+   * later ones must be above it. A process that does not know takes the first
+   * pass that it sees, plus `maxAheadPasses`.
+   */
   readonly lastHeldStep: number;
   /**
    * Returns a version above `known` that no other leader uses for another map.
@@ -111,6 +115,11 @@
   | "releasing"
   | "done";
 
+/**
+ * Passes ahead of the present one that a leader holds at most. The bound lets a
+ * leader that restarted tell which passes it can't have held.
+ */
+export const maxAheadPasses = 12;
 /** Looks at all ranks after which a round leaves the rest to the next one. */
 const maxLooks = 20;
 /** Passes that are tried to be held, each further ahead. */
@@ -210,6 +219,7 @@
       ...[...states.values()].map((state) => state.step),
     );
     step = Math.max(furthest + options.leadPasses * holds, step + 1);
+    if (step > furthest + maxAheadPasses) return abort("Few passes begin");
     const order = { kind: "hold", step } as const;
     return orderRanks("holding", [options.holdRank], () => order);
   }
--- a/packages/coordination/src/testing/ordered_group.ts
+++ b/packages/coordination/src/testing/ordered_group.ts
@@ -75,9 +75,6 @@
   lastHeldStep: number;
   /** Steps of the run for which it does nothing. */
   frozenFor: number;
-  /** Orders of this leader that wait to be carried out late. */
-  late: number;
-  isResting: boolean;
 }
 
 const emptyMap: rankOrders.MapLayers = [[[0]]];
@@ -101,8 +98,6 @@
       round: undefined,
       lastHeldStep: 0,
       frozenFor: 0,
-      late: 0,
-      isResting: false,
     }),
   );
   let epoch = 1;
@@ -188,7 +183,6 @@
   }
 
   function sendOrder(
-    leader: Leader,
     index: number,
     { order, orderEpoch }: {
       readonly order: rankOrders.RankOrder;
@@ -196,11 +190,7 @@
     },
   ): rankOrders.OrderReply {
     if (isLikely(faults.lateOrder)) {
-      leader.late += 1;
-      lateTasks.push(() => {
-        leader.late -= 1;
-        applyOrder(index, order, orderEpoch);
-      });
+      lateTasks.push(() => applyOrder(index, order, orderEpoch));
       return "unknown";
     }
     const reply = applyOrder(index, order, orderEpoch);
@@ -234,7 +224,7 @@
             break;
           case "send":
             leader.tasks.push(() => {
-              const reply = sendOrder(leader, index, { order, orderEpoch });
+              const reply = sendOrder(index, { order, orderEpoch });
               carryOut(settler.handle({ kind: "reply", reply }));
             });
             break;
@@ -355,13 +345,9 @@
     if (isLikely(faults.restart)) {
       leader.tasks = [];
       leader.round = undefined;
-      leader.lastHeldStep = 0;
+      leader.lastHeldStep = step + switchRound.maxAheadPasses;
       leader.createVersion = createVersions(leader.rank);
-      // A new process leads once late orders of the old one are over.
-      leader.isResting = true;
     }
-    if (leader.isResting && leader.late > 0) return;
-    leader.isResting = false;
     if (leader.tasks.length === 0) {
       if (leader.round === undefined && isLikely(0.3)) startRound(leader);
       return;
