--- a/packages/anvilhinge/src/entry/choice/routed_policy.ts
+++ b/packages/anvilhinge/src/entry/choice/routed_policy.ts
@@ -3,14 +3,17 @@
  * of one request: at which upstream there is a place, and whether another try
  * is within the budget.
  */
+import type * as workClient from "@anvilhinge/coordination/dispatch/work_client";
 import * as health from "@anvilhinge/coordination/health";
 import type * as random from "@anvilhinge/coordination/random";
 import * as retryBudget from "@anvilhinge/coordination/retry_budget";
+import type * as datagrams from "../../adapters/datagrams.ts";
 import type * as callerDialect from "../../ports/caller_dialect.ts";
 import type * as scheduler from "../../ports/scheduler.ts";
 import type * as routing from "../../settings/routing.ts";
 import type * as logger from "../../telemetry/logger.ts";
 import type * as session from "../session/session.ts";
+import * as placeDispatch from "./place_dispatch.ts";
 
 /** A request that needs an upstream. */
 export interface RoutedWork {
@@ -41,14 +44,31 @@
 }
 
 export interface RoutedPolicy {
+  setServices(services: readonly routing.ServiceSpec[]): void;
   setUpstreams(upstreams: readonly routing.ListedUpstream[]): void;
   startRequest(work: RoutedWork, decide: DecideWaiting): RequestPlaces;
+  handleMessage(message: placeDispatch.DispatchMessage, from: string): void;
+}
+
+/** Bound on retries over all entries; each uses an equal part. */
+export interface RetryBounds {
+  /** Retries for each request. */
+  readonly share: number;
+  /** Retries in each window besides the share. */
+  readonly extra: number;
+  readonly windowMs: number;
 }
 
 export interface RoutedPolicyOptions {
+  readonly entryId: string;
+  readonly failureDomain: string;
+  readonly members: placeDispatch.DispatchMembers;
+  readonly retries: RetryBounds;
   readonly scheduler: scheduler.Scheduler;
   readonly random: random.RandomSource;
   readonly logger: logger.Logger;
+  readonly sockets: () => datagrams.Datagrams | undefined;
+  readonly signal: AbortSignal;
 }
 
 interface Known {
@@ -57,21 +77,66 @@
   open: number;
 }
 
+interface Asking {
+  readonly decide: DecideWaiting;
+}
+
 const noUpstreamRetryMs = 1_000;
 const maxEjectedShare = 0.5;
+/** Part of the retry budget that is used, since entries count apart. */
+const usedBudgetShare = 0.8;
+const millisecondsPerSecond = 1_000;
 
 /** Creates a policy that knows no upstreams. */
 export function createRoutedPolicy(
   options: RoutedPolicyOptions,
 ): RoutedPolicy {
-  const { scheduler: clock } = options;
+  const { scheduler: clock, retries } = options;
   const known = new Map<string, Known>();
+  const services = new Map<string, routing.ServiceSpec>();
+  /** Requests that wait for a place, by the key under which they asked. */
+  const asking = new Map<string, Asking>();
   const checked = health.createHealth({
     clock,
     random: options.random,
     onChange: (change) => options.logger.info("Upstream health", { change }),
   });
-  const budget = retryBudget.createRetryBudget({ clock });
+  const windowSeconds = retries.windowMs / millisecondsPerSecond;
+  const budget = retryBudget.createRetryBudget({
+    clock,
+    share: usedBudgetShare * retries.share,
+    burst: usedBudgetShare * retries.extra / 2,
+    minPerSecond: usedBudgetShare * retries.extra / 2 / windowSeconds,
+    readPart: () => 1 / Math.max(1, options.members.countEntries()),
+  });
+  const dispatch = placeDispatch.startPlaceDispatch({
+    entryId: options.entryId,
+    failureDomain: options.failureDomain,
+    members: options.members,
+    scheduler: clock,
+    random: options.random,
+    sockets: options.sockets,
+    signal: options.signal,
+    onEvent: handleEvent,
+  });
+
+  function handleEvent(event: workClient.WorkEvent): void {
+    const found = asking.get(event.key);
+    if (found === undefined) return;
+    asking.delete(event.key);
+    if (event.kind === "denied") {
+      const reason = `No place is expected soon (said by the ${event.by})`;
+      const { retryAfterMs } = event;
+      return found.decide({ kind: "denied", reason, retryAfterMs });
+    }
+    const granted = known.get(event.upstreamId);
+    if (granted === undefined) {
+      dispatch.drop(event.key);
+      const reason = `Upstream ${event.upstreamId} has gone`;
+      return found.decide({ kind: "denied", reason, retryAfterMs: 0 });
+    }
+    found.decide({ kind: "granted", upstream: granted.upstream });
+  }
 
   function listUsable(service: string): readonly Known[] {
     return [...known.values()].filter(({ listed }) =>
@@ -79,39 +144,107 @@
     );
   }
 
-  function startRequest(work: RoutedWork): RequestPlaces {
-    budget.recordRequest();
+  function updatePlaces(): void {
+    dispatch.setPlaces(
+      [...known.values()]
+        .filter(({ listed }) =>
+          listed.state === "serving" &&
+          services.get(listed.service)?.engine !== undefined
+        )
+        .map(({ listed }) => ({
+          id: listed.id,
+          pool: listed.service,
+          failureDomain: listed.failureDomain,
+          slots: listed.slots,
+        })),
+    );
+  }
+
+  /** Chooses by this entry's own load, for services without engines. */
+  function chooseLeastLoaded(
+    service: string,
+    tried: ReadonlySet<string>,
+  ): session.Choice {
+    const usable = listUsable(service).filter(({ listed }) =>
+      !tried.has(listed.id)
+    );
+    const healthy = usable.filter(({ listed }) =>
+      checked.isAvailable(listed.id)
+    );
+    const candidates = healthy.length > 0 ? healthy : usable;
+    const least = Math.min(...candidates.map((one) => one.open));
+    const best = candidates.filter((one) => one.open === least);
+    const chosen = best[Math.floor(options.random() * best.length)];
+    if (chosen === undefined) {
+      const reason = `No upstream of service ${service} is left`;
+      return { kind: "none", reason, retryAfterMs: noUpstreamRetryMs };
+    }
+    return { kind: "chosen", upstream: chosen.upstream };
+  }
+
+  function startRequest(
+    work: RoutedWork,
+    decide: DecideWaiting,
+  ): RequestPlaces {
+    const engine = services.get(work.service)?.engine;
+    const arrivedAtMs = clock.now();
+    let asked = 0;
     let open: Known | undefined;
+    let key = "";
+    budget.recordRequest();
 
     function release(): void {
       if (open !== undefined) open.open -= 1;
       open = undefined;
+      asking.delete(key);
+      if (engine !== undefined && key !== "") dispatch.drop(key);
+    }
+
+    function askForPlace(tried: ReadonlySet<string>): session.Choice {
+      const usable = listUsable(work.service);
+      if (usable.every(({ listed }) => tried.has(listed.id))) {
+        const reason = `No upstream of service ${work.service} is left`;
+        return { kind: "none", reason, retryAfterMs: noUpstreamRetryMs };
+      }
+      release();
+      asked += 1;
+      key = `${work.requestId}/${asked}`;
+      const ejected = usable.map(({ listed }) => listed.id)
+        .filter((id) => !checked.isAvailable(id));
+      const nowMs = clock.now();
+      asking.set(key, { decide });
+      dispatch.ask({
+        key,
+        pool: work.service,
+        priority: work.priority,
+        workspace: work.workspace,
+        promptTokens: work.size?.promptTokens ?? 0,
+        answerTokens: work.size?.answerTokensHint ??
+          work.size?.maxAnswerTokens ?? 0,
+        aimLeftMs: work.route.latencyTargetMs - (nowMs - arrivedAtMs),
+        leftMs: work.deadlineAtMs - nowMs,
+        avoided: [...tried, ...ejected],
+      });
+      return { kind: "wait" };
     }
 
     return {
-      chooseUpstream(tried) {
-        const usable = listUsable(work.service).filter(({ listed }) =>
-          !tried.has(listed.id)
-        );
-        const healthy = usable.filter(({ listed }) =>
-          checked.isAvailable(listed.id)
-        );
-        const candidates = healthy.length > 0 ? healthy : usable;
-        const least = Math.min(...candidates.map((one) => one.open));
-        const best = candidates.filter((one) => one.open === least);
-        const chosen = best[Math.floor(options.random() * best.length)];
-        if (chosen === undefined) {
-          const reason = `No upstream of service ${work.service} is left`;
-          return { kind: "none", reason, retryAfterMs: noUpstreamRetryMs };
-        }
-        return { kind: "chosen", upstream: chosen.upstream };
-      },
+      chooseUpstream: (tried) =>
+        engine === undefined
+          ? chooseLeastLoaded(work.service, tried)
+          : askForPlace(tried),
       takeRetry: budget.take,
       recordDispatch(upstream) {
-        release();
         open = known.get(upstream.id);
         if (open !== undefined) open.open += 1;
         checked.recordSent(upstream.id);
+        if (engine === undefined) return;
+        dispatch.start({
+          key,
+          upstreamId: upstream.id,
+          workspace: work.workspace,
+          promptTokens: work.size?.promptTokens ?? 0,
+        });
       },
       recordOutcome({ upstream, outcome }) {
         release();
@@ -122,6 +255,11 @@
   }
 
   return {
+    setServices(specs) {
+      services.clear();
+      for (const spec of specs) services.set(spec.name, spec);
+      updatePlaces();
+    },
     setUpstreams(upstreams) {
       const listedIds = new Set(upstreams.map(({ id }) => id));
       for (const id of [...known.keys()]) {
@@ -144,7 +282,9 @@
       for (const [service, members] of pools) {
         checked.setPool(service, { members, maxEjectedShare });
       }
+      updatePlaces();
     },
     startRequest,
+    handleMessage: dispatch.handle,
   };
 }
--- /dev/null
+++ b/packages/anvilhinge/src/entry/control/roster_node.ts
@@ -0,0 +1,88 @@
+/** Runs the entry's roster: sends its messages and feeds what arrives. */
+import * as roster from "@anvilhinge/coordination/roster";
+import type * as datagrams from "../../adapters/datagrams.ts";
+import type * as scheduler from "../../ports/scheduler.ts";
+import type * as logger from "../../telemetry/logger.ts";
+
+/** What an entry tells the others of itself. */
+export interface EntryDetails {
+  /** Address for callers as `host:port`. */
+  readonly callers: string;
+  readonly failureDomain: string;
+  readonly region: string;
+  readonly isReady: boolean;
+  readonly isLeaving: boolean;
+}
+
+export type EntryMember = roster.MemberInfo<EntryDetails>;
+export type RosterMessage = roster.RosterMessage<EntryDetails>;
+
+export interface RosterNodeOptions {
+  readonly self: EntryMember;
+  readonly seeds: readonly string[];
+  readonly scheduler: scheduler.Scheduler;
+  readonly sockets: () => datagrams.Datagrams | undefined;
+  readonly logger: logger.Logger;
+  readonly signal: AbortSignal;
+}
+
+export interface RosterNode {
+  handle(message: RosterMessage): void;
+  setState(state: Pick<EntryDetails, "isReady" | "isLeaving">): void;
+  listLive(): readonly EntryMember[];
+  getHub(): EntryMember;
+  isHub(): boolean;
+}
+
+/** Starts the roster; it sends from its first tick on. */
+export function startRosterNode(options: RosterNodeOptions): RosterNode {
+  const { scheduler, signal, logger } = options;
+  const core = roster.createRoster<EntryDetails>({
+    clock: scheduler,
+    self: options.self,
+    seeds: options.seeds,
+  });
+  let { details } = options.self;
+  let shownHub: string | undefined;
+  let shownLive = "";
+
+  function send(sends: readonly roster.RosterSend<EntryDetails>[]): void {
+    for (const { to, message } of sends) options.sockets()?.send(message, to);
+  }
+
+  /** Logs what changed in the belief of who is there. */
+  function showChanges(): void {
+    const hub = core.getHub().id;
+    if (hub !== shownHub) {
+      shownHub = hub;
+      logger.info("The hub is", { hub, isOwn: core.isHub() });
+    }
+    const ids = core.listLive()
+      .filter(({ details: { isReady, isLeaving } }) => isReady && !isLeaving)
+      .map(({ id }) => id);
+    const live = [...ids].sort().join(" ");
+    if (live === shownLive) return;
+    shownLive = live;
+    logger.info("Entries that take requests", { count: ids.length, ids });
+  }
+
+  function tick(): void {
+    send(core.tick());
+    showChanges();
+    scheduler.schedule(tick, { delayMs: roster.tickMs, signal });
+  }
+
+  scheduler.schedule(tick, { delayMs: 0, signal });
+  return {
+    handle(message) {
+      send(core.handle(message));
+    },
+    setState(state) {
+      details = { ...details, ...state };
+      send(core.setDetails(details));
+    },
+    listLive: core.listLive,
+    getHub: core.getHub,
+    isHub: core.isHub,
+  };
+}
--- a/packages/anvilhinge/src/entry/routed_entry.ts
+++ b/packages/anvilhinge/src/entry/routed_entry.ts
@@ -6,6 +6,7 @@
 import * as http from "node:http";
 import * as random from "@anvilhinge/coordination/random";
 import * as hostPort from "../adapters/address.ts";
+import * as datagrams from "../adapters/datagrams.ts";
 import * as directClient from "../adapters/direct_client.ts";
 import * as systemScheduler from "../adapters/system_scheduler.ts";
 import type * as callerDialect from "../ports/caller_dialect.ts";
@@ -15,7 +16,9 @@
 import type * as routedProcess from "../settings/routed_process.ts";
 import * as logger from "../telemetry/logger.ts";
 import * as routedHttp from "./callers/routed_http.ts";
+import type * as placeDispatch from "./choice/place_dispatch.ts";
 import * as routedPolicy from "./choice/routed_policy.ts";
+import * as rosterNode from "./control/roster_node.ts";
 import * as routingView from "./routing/routing_view.ts";
 
 /** Where callers that ask should connect. */
@@ -65,6 +68,20 @@
 const drainPollMs = 20;
 const maxHeaderBytes = 64 * 1024;
 
+type Message = rosterNode.RosterMessage | placeDispatch.DispatchMessage;
+
+const messageKinds: readonly unknown[] = [
+  "hello",
+  "roster",
+  "work",
+  "decisions",
+] satisfies readonly Message["kind"][];
+
+function isMessage(message: unknown): message is Message {
+  const kind = (message as { readonly kind?: unknown } | null)?.kind;
+  return messageKinds.includes(kind);
+}
+
 function listen(
   server: http.Server,
   address: string,
@@ -96,10 +113,47 @@
     openRequests: 0,
   };
   let isReady = false;
+  let sockets: datagrams.Datagrams | undefined;
+  const { port: peersPort } = hostPort.parseAddress(settings.peers);
+  const roster = rosterNode.startRosterNode({
+    self: {
+      id: settings.id,
+      address: settings.peers,
+      incarnation: Date.now(),
+      details: {
+        callers: settings.callers,
+        failureDomain: settings.failureDomain,
+        region: settings.region,
+        isReady: false,
+        isLeaving: false,
+      },
+    },
+    seeds: settings.seeds.map((address) =>
+      `${hostPort.parseAddress(address).host}:${peersPort}`
+    ),
+    scheduler: clock,
+    sockets: () => sockets,
+    logger: log,
+    signal: abort.signal,
+  });
   const policy = routedPolicy.createRoutedPolicy({
+    entryId: settings.id,
+    failureDomain: settings.failureDomain,
+    members: {
+      getHub: roster.getHub,
+      isHub: roster.isHub,
+      countEntries: () => roster.listLive().length,
+    },
+    retries: {
+      share: settings.bounds.retryShare,
+      extra: settings.bounds.retryExtra,
+      windowMs: settings.bounds.retryWindowMs,
+    },
     scheduler: clock,
     random: randomSource,
     logger: log,
+    sockets: () => sockets,
+    signal: abort.signal,
   });
   let setReady: () => void = () => {};
   const viewReady = new Promise<void>((resolve) => (setReady = resolve));
@@ -114,7 +168,8 @@
     random: randomSource,
     logger: log,
     signal: abort.signal,
-    onRouting: ({ settings: { limits } }) => {
+    onRouting: ({ settings: { limits, services } }) => {
+      policy.setServices(services);
       callers.keepAliveTimeout = limits.idleTimeoutMs;
       callers.headersTimeout = limits.headerTimeoutMs;
     },
@@ -137,10 +192,14 @@
   );
   const points: EntryPoints = {
     isReady: () => isReady && !state.isLeaving,
-    findAddresses: () =>
-      isReady && !state.isLeaving
-        ? { addresses: [settings.callers], ttlMs: addressTtlMs }
-        : undefined,
+    findAddresses() {
+      const addresses = roster.listLive().map(({ details }) => details)
+        .filter((details) => details.isReady && !details.isLeaving)
+        .map((details) => details.callers);
+      return addresses.length === 0
+        ? undefined
+        : { addresses, ttlMs: addressTtlMs };
+    },
   };
   const readiness = http.createServer(platform.createReadinessHandler(points));
   const directory = http.createServer(platform.createDirectoryHandler(points));
@@ -153,6 +212,7 @@
     const askedAtMs = clock.now();
     const endAtMs = askedAtMs + settings.bounds.stopMs - stopSlackMs;
     state.isLeaving = true;
+    roster.setState({ isReady, isLeaving: true });
     log.info("Stops being handed out");
     const keptMs = Math.min(
       addressKeepFactor * addressTtlMs,
@@ -174,6 +234,22 @@
     }
   }
 
+  sockets = await datagrams.openDatagrams({
+    address: settings.peers,
+    signal: abort.signal,
+    onFailure: (reason) => log.warnOnce(`datagrams/${reason}`, reason),
+    onMessage(message, from) {
+      if (!isMessage(message)) return;
+      switch (message.kind) {
+        case "hello":
+        case "roster":
+          return roster.handle(message);
+        case "work":
+        case "decisions":
+          return policy.handleMessage(message, from);
+      }
+    },
+  });
   await Promise.all([
     listen(readiness, settings.readiness),
     listen(directory, settings.directory),
@@ -181,6 +257,7 @@
   await viewReady;
   await listen(callers, settings.callers);
   isReady = true;
+  roster.setState({ isReady, isLeaving: false });
   log.info("Serves callers", { address: settings.callers });
   await new Promise<void>((resolve) => {
     if (signal.aborted) resolve();
--- a/packages/coordination/src/retry_budget.ts
+++ b/packages/coordination/src/retry_budget.ts
@@ -22,6 +22,11 @@
    * @default 1
    */
   readonly minPerSecond?: number;
+  /**
+   * Returns the part of `burst` and `minPerSecond` that this node may use, where
+   * several share them. Default: all.
+   */
+  readonly readPart?: () => number;
 }
 
 export interface RetryBudget {
@@ -42,14 +47,17 @@
   const share = options.share ?? defaultShare;
   const burst = options.burst ?? defaultBurst;
   const minPerSecond = options.minPerSecond ?? defaultMinPerSecond;
-  let tokens = burst;
+  const readPart = options.readPart ?? (() => 1);
+  let tokens = burst * readPart();
   let filledAtMs = options.clock.now();
 
   function fill(added: number): void {
     const nowMs = options.clock.now();
     const seconds = (nowMs - filledAtMs) / millisecondsPerSecond;
     filledAtMs = nowMs;
-    tokens = Math.min(burst, tokens + added + seconds * minPerSecond);
+    const part = readPart();
+    const filled = tokens + added + seconds * minPerSecond * part;
+    tokens = Math.min(burst * part, filled);
   }
 
   return {
