--- a/packages/anvilhinge/src/agent/ranks/map_duty.ts
+++ b/packages/anvilhinge/src/agent/ranks/map_duty.ts
@@ -236,8 +236,8 @@
     logger.info(isSwitched ? "Switched the map" : "Kept the map", {
       group: own.group,
       epoch: own.epoch,
-      skewBefore: round(skewBefore),
-      skewAfter: round(skewAfter),
+      skewBefore: trimDigits(skewBefore),
+      skewAfter: trimDigits(skewAfter),
       copies,
       tookMs: Math.round(scheduler.now() - startedAtMs),
       phaseMs,
@@ -323,6 +323,6 @@
   return Math.max(...loads) * ranks.length;
 }
 
-function round(value: number): number {
+function trimDigits(value: number): number {
   return Math.round(value * 100) / 100;
 }
--- a/packages/anvilhinge/src/agent/ranks/rank_calls.ts
+++ b/packages/anvilhinge/src/agent/ranks/rank_calls.ts
@@ -45,7 +45,7 @@
 export interface RankCallsOptions {
   readonly engine: rankEngine.RankEngine;
   readonly scheduler: scheduler.Scheduler;
-  readonly sockets: () => datagrams.Datagrams | undefined;
+  readonly sockets: datagrams.Datagrams;
   /** Distinguishes the calls of this process from all others. */
   readonly incarnation: string;
 }
@@ -108,7 +108,7 @@
     }
   }
 
-  function remember(id: string, answer: Promise<RankAnswer>): void {
+  function keepAnswer(id: string, answer: Promise<RankAnswer>): void {
     received.set(id, answer);
     if (received.size <= maxRemembered) return;
     const oldest = received.keys().next().value;
@@ -130,7 +130,7 @@
           resolve(answer);
         }
         function send(): void {
-          options.sockets()?.send(message, address);
+          options.sockets.send(message, address);
           scheduler.schedule(send, { delayMs: resendMs, signal });
         }
         open.set(id, finish);
@@ -144,10 +144,10 @@
     handleCall({ id, call }, from) {
       const known = received.get(id);
       const answer = known ?? execute(call);
-      if (known === undefined) remember(id, answer);
+      if (known === undefined) keepAnswer(id, answer);
       void answer.then((ready) => {
         const message: AnswerMessage = { kind: "answer", id, answer: ready };
-        options.sockets()?.send(message, from);
+        options.sockets.send(message, from);
       });
     },
     handleAnswer({ id, answer }) {
--- a/packages/anvilhinge/src/agent/routed_agent.ts
+++ b/packages/anvilhinge/src/agent/routed_agent.ts
@@ -93,7 +93,6 @@
   const peers = rankPeers.createRankPeers({ clock });
   const { port } = hostPort.parseAddress(settings.peers);
   const own = hostPort.parseAddress(settings.peers);
-  let sockets: datagrams.Datagrams | undefined;
   let addresses: readonly string[] = [];
   let experts: routing.ExpertSpec | undefined;
   let duty: mapDuty.MapDuty | undefined;
@@ -101,10 +100,19 @@
   let firstOpenEpoch: number | undefined;
   let turns = 0;
   let isLeading = false;
+  let handleMessage: (message: Message, from: string) => void = () => {};
+  const sockets = await datagrams.openDatagrams({
+    address: settings.peers,
+    signal,
+    onFailure: (reason) => log.warnOnce(`datagrams/${reason}`, reason),
+    onMessage(message, from) {
+      if (isMessage(message)) handleMessage(message, from);
+    },
+  });
   const calls = rankCalls.createRankCalls({
     engine,
     scheduler: clock,
-    sockets: () => sockets,
+    sockets,
     incarnation: nodeCrypto.randomUUID(),
   });
 
@@ -150,7 +158,7 @@
     const message: StatusMessage = { kind: "status", status };
     const interval = peers.isCandidate() ? candidateTurns : helloTurns;
     if (turns % interval !== 0) return;
-    for (const address of addresses) sockets?.send(message, address);
+    for (const address of addresses) sockets.send(message, address);
   }
 
   function isEpochNew(epoch: number): boolean {
@@ -223,22 +231,16 @@
     }
   }
 
-  sockets = await datagrams.openDatagrams({
-    address: settings.peers,
-    signal,
-    onFailure: (reason) => log.warnOnce(`datagrams/${reason}`, reason),
-    onMessage(message, from) {
-      if (!isMessage(message)) return;
-      switch (message.kind) {
-        case "status":
-          return peers.record(message.status, from);
-        case "call":
-          return calls.handleCall(message, from);
-        case "answer":
-          return calls.handleAnswer(message);
-      }
-    },
-  });
+  handleMessage = (message, from) => {
+    switch (message.kind) {
+      case "status":
+        return peers.record(message.status, from);
+      case "call":
+        return calls.handleCall(message, from);
+      case "answer":
+        return calls.handleAnswer(message);
+    }
+  };
   log.info("Starts", { id: settings.id, upstream: settings.upstream });
   void followStore();
   void takeTurns();
--- a/packages/anvilhinge/src/entry/choice/place_dispatch.ts
+++ b/packages/anvilhinge/src/entry/choice/place_dispatch.ts
@@ -23,7 +23,7 @@
   readonly members: DispatchMembers;
   readonly scheduler: scheduler.Scheduler;
   readonly random: random.RandomSource;
-  readonly sockets: () => datagrams.Datagrams | undefined;
+  readonly sockets: datagrams.Datagrams;
   readonly signal: AbortSignal;
   readonly onEvent: (event: workClient.WorkEvent) => void;
 }
@@ -75,7 +75,7 @@
   }
 
   /** Whether this entry is the hub and knows enough to decide. */
-  function canDecide(): boolean {
+  function isDeciding(): boolean {
     if (!members.isHub()) {
       hubSinceMs = undefined;
       return false;
@@ -93,7 +93,7 @@
       }
       const address = addresses.get(entryId);
       const message: DispatchMessage = { kind: "decisions", decisions };
-      if (address !== undefined) options.sockets()?.send(message, address);
+      if (address !== undefined) options.sockets.send(message, address);
     }
   }
 
@@ -101,10 +101,10 @@
     isReportDue = false;
     sentAtMs = scheduler.now();
     const state = client.buildState();
-    if (canDecide()) return deliver(hub.receive(state));
+    if (isDeciding()) return deliver(hub.receive(state));
     if (members.isHub()) return;
     const message: DispatchMessage = { kind: "work", state };
-    options.sockets()?.send(message, members.getHub().address);
+    options.sockets.send(message, members.getHub().address);
   }
 
   /** Reports soon, so that changes of one moment travel together. */
@@ -119,7 +119,7 @@
     const isWaiting = client.hasWaiting();
     const interval = isWaiting ? waitingIntervalMs : idleIntervalMs;
     if (scheduler.now() - sentAtMs >= interval) report();
-    if (canDecide()) deliver(hub.decide());
+    if (isDeciding()) deliver(hub.decide());
     scheduler.schedule(tick, { delayMs: waitingIntervalMs, signal });
   }
 
@@ -145,7 +145,7 @@
         return emit(client.receive(message.decisions));
       }
       addresses.set(message.state.entryId, from);
-      if (canDecide()) deliver(hub.receive(message.state));
+      if (isDeciding()) deliver(hub.receive(message.state));
     },
     describe: hub.describe,
   };
--- a/packages/anvilhinge/src/entry/choice/routed_policy.ts
+++ b/packages/anvilhinge/src/entry/choice/routed_policy.ts
@@ -67,7 +67,7 @@
   readonly scheduler: scheduler.Scheduler;
   readonly random: random.RandomSource;
   readonly logger: logger.Logger;
-  readonly sockets: () => datagrams.Datagrams | undefined;
+  readonly sockets: datagrams.Datagrams;
   readonly signal: AbortSignal;
 }
 
--- a/packages/anvilhinge/src/entry/control/roster_node.ts
+++ b/packages/anvilhinge/src/entry/control/roster_node.ts
@@ -18,10 +18,10 @@
 export type RosterMessage = roster.RosterMessage<EntryDetails>;
 
 export interface RosterNodeOptions {
-  readonly self: EntryMember;
+  readonly self: Omit<EntryMember, "revision">;
   readonly seeds: readonly string[];
   readonly scheduler: scheduler.Scheduler;
-  readonly sockets: () => datagrams.Datagrams | undefined;
+  readonly sockets: datagrams.Datagrams;
   readonly logger: logger.Logger;
   readonly signal: AbortSignal;
 }
@@ -47,7 +47,7 @@
   let shownLive = "";
 
   function send(sends: readonly roster.RosterSend<EntryDetails>[]): void {
-    for (const { to, message } of sends) options.sockets()?.send(message, to);
+    for (const { to, message } of sends) options.sockets.send(message, to);
   }
 
   /** Logs what changed in the belief of who is there. */
--- a/packages/anvilhinge/src/entry/routed_entry.ts
+++ b/packages/anvilhinge/src/entry/routed_entry.ts
@@ -113,7 +113,15 @@
     openRequests: 0,
   };
   let isReady = false;
-  let sockets: datagrams.Datagrams | undefined;
+  let handleMessage: (message: Message, from: string) => void = () => {};
+  const sockets = await datagrams.openDatagrams({
+    address: settings.peers,
+    signal: abort.signal,
+    onFailure: (reason) => log.warnOnce(`datagrams/${reason}`, reason),
+    onMessage(message, from) {
+      if (isMessage(message)) handleMessage(message, from);
+    },
+  });
   const { port: peersPort } = hostPort.parseAddress(settings.peers);
   const roster = rosterNode.startRosterNode({
     self: {
@@ -132,7 +140,7 @@
       `${hostPort.parseAddress(address).host}:${peersPort}`
     ),
     scheduler: clock,
-    sockets: () => sockets,
+    sockets,
     logger: log,
     signal: abort.signal,
   });
@@ -152,7 +160,7 @@
     scheduler: clock,
     random: randomSource,
     logger: log,
-    sockets: () => sockets,
+    sockets,
     signal: abort.signal,
   });
   let setReady: () => void = () => {};
@@ -234,22 +242,16 @@
     }
   }
 
-  sockets = await datagrams.openDatagrams({
-    address: settings.peers,
-    signal: abort.signal,
-    onFailure: (reason) => log.warnOnce(`datagrams/${reason}`, reason),
-    onMessage(message, from) {
-      if (!isMessage(message)) return;
-      switch (message.kind) {
-        case "hello":
-        case "roster":
-          return roster.handle(message);
-        case "work":
-        case "decisions":
-          return policy.handleMessage(message, from);
-      }
-    },
-  });
+  handleMessage = (message, from) => {
+    switch (message.kind) {
+      case "hello":
+      case "roster":
+        return roster.handle(message);
+      case "work":
+      case "decisions":
+        return policy.handleMessage(message, from);
+    }
+  };
   await Promise.all([
     listen(readiness, settings.readiness),
     listen(directory, settings.directory),
--- /dev/null
+++ b/packages/coordination/src/dispatch/work_hub_test.ts
@@ -0,0 +1,195 @@
+import * as dispatchWorld from "../testing/dispatch_world.ts";
+import * as clock from "../clock.ts";
+import type * as work from "./work.ts";
+import * as workHub from "./work_hub.ts";
+
+const group = {
+  rankCount: 16,
+  slots: 8,
+  entryCount: 13,
+  serviceMs: 1_600,
+  durationMs: 7_000,
+};
+/** Requests that the places of the group serve in a second. */
+const capacity = 1_000 * group.rankCount * group.slots / group.serviceMs;
+
+test("below the capacity all begin at once and no rank is overfull", () => {
+  const result = dispatchWorld.runDispatchWorld({
+    ...group,
+    seed: 1,
+    load: () => 0.8,
+  });
+  expect(result.refused + result.abandoned + result.late).toBe(0);
+  expect(result.mostAtRank).toBeLessThanOrEqual(group.slots);
+});
+
+test.each([1.5, 2, 5])(
+  "at %s times the capacity the places stay in use for requests in time",
+  (load) => {
+    const options = { ...group, seed: 2, load: () => load };
+    const hub = dispatchWorld.runDispatchWorld(options);
+    const plain = dispatchWorld.runDispatchWorld({ ...options, isPlain: true });
+    expect(hub.refusedWithFree).toBe(0);
+    expect(hub.abandoned).toBeLessThan(hub.asked / 50);
+    expect(hub.inAim).toBeGreaterThan(2 * plain.inAim);
+    // The places are full from the third second to the end of the load.
+    const middle = hub.servedPerSecond.slice(3, 7);
+    expect(Math.min(...middle)).toBeGreaterThan(0.8 * capacity);
+  },
+);
+
+test("callers that repeat at once don't lower what is served", () => {
+  const options = { ...group, seed: 3, load: () => 2 };
+  const calm = dispatchWorld.runDispatchWorld(options);
+  const storm = dispatchWorld.runDispatchWorld({
+    ...options,
+    impatientShare: 0.5,
+  });
+  expect(storm.inAim).toBeGreaterThan(0.9 * calm.inAim);
+});
+
+test("a burst is over for callers soon after it ends", () => {
+  const result = dispatchWorld.runDispatchWorld({
+    ...group,
+    durationMs: 12_000,
+    seed: 4,
+    load: (nowMs) => nowMs > 3_000 && nowMs < 6_000 ? 1.7 : 0.8,
+  });
+  expect(result.refusedWithFree).toBe(0);
+  expect(result.abandoned).toBe(0);
+  // What comes too much in 3 s, less what the free fifth serves in the 3 s for
+  // which callers come back.
+  const lost = 3 * (0.7 - 0.2) * capacity;
+  expect(result.refused).toBeLessThan(lost);
+});
+
+function createHub() {
+  const manual = clock.createManualClock();
+  const hub = workHub.createWorkHub({ clock: manual, random: () => 0.5 });
+  hub.setPlaces([
+    { id: "u1", pool: "p", failureDomain: "a", slots: 1 },
+    { id: "u2", pool: "p", failureDomain: "b", slots: 1 },
+  ]);
+  return { hub, clock: manual };
+}
+
+function createWaiting(
+  key: string,
+  options: Partial<work.WaitingWork> = {},
+): work.WaitingWork {
+  return {
+    key,
+    pool: "p",
+    priority: 1,
+    workspace: "w",
+    promptTokens: 100,
+    answerTokens: 100,
+    ageMs: 0,
+    aimLeftMs: 300,
+    leftMs: 8_000,
+    avoided: [],
+    ...options,
+  };
+}
+
+function createState(
+  sequence: number,
+  options: Partial<work.WorkState>,
+): work.WorkState {
+  return {
+    entryId: "e1",
+    failureDomain: "a",
+    sequence,
+    waiting: [],
+    running: [],
+    ...options,
+  };
+}
+
+test("a place goes to the entry's own failure domain first", () => {
+  const { hub } = createHub();
+  const decided = hub.receive(
+    createState(1, { waiting: [createWaiting("k1")] }),
+  );
+  expect(decided.get("e1")?.grants).toEqual([{ key: "k1", upstreamId: "u1" }]);
+});
+
+test("a grant is repeated until the entry shows it", () => {
+  const { hub } = createHub();
+  const waiting = [createWaiting("k1")];
+  const grants = [{ key: "k1", upstreamId: "u1" }];
+  expect(hub.receive(createState(1, { waiting })).get("e1")?.grants)
+    .toEqual(grants);
+  expect(hub.receive(createState(2, { waiting })).get("e1")?.grants)
+    .toEqual(grants);
+  const running = [
+    { key: "k1", upstreamId: "u1", workspace: "w", promptTokens: 1 },
+  ];
+  expect(hub.receive(createState(3, { running })).get("e1")?.grants)
+    .toEqual([]);
+  expect(hub.describe()[0]?.taken).toBe(1);
+});
+
+test("urgent requests go first, and those in time before late ones", () => {
+  const { hub } = createHub();
+  const decided = hub.receive(createState(1, {
+    waiting: [
+      createWaiting("late", { aimLeftMs: -1, priority: 0 }),
+      createWaiting("low", { priority: 2 }),
+      createWaiting("urgent", { priority: 0 }),
+    ],
+  }));
+  expect(decided.get("e1")?.grants.map(({ key }) => key))
+    .toEqual(["urgent", "low"]);
+});
+
+test("a workspace that holds fewer places goes first", () => {
+  const { hub } = createHub();
+  hub.receive(createState(1, {
+    running: [{
+      key: "r",
+      upstreamId: "u1",
+      workspace: "big",
+      promptTokens: 1,
+    }],
+  }));
+  const decided = hub.receive(createState(2, {
+    running: [{
+      key: "r",
+      upstreamId: "u1",
+      workspace: "big",
+      promptTokens: 1,
+    }],
+    waiting: [
+      createWaiting("k1", { workspace: "big", ageMs: 50 }),
+      createWaiting("k2", { workspace: "small" }),
+    ],
+  }));
+  expect(decided.get("e1")?.grants.map(({ key }) => key)).toEqual(["k2"]);
+});
+
+test("an upstream that the entry avoids is not granted", () => {
+  const { hub } = createHub();
+  const decided = hub.receive(
+    createState(1, { waiting: [createWaiting("k1", { avoided: ["u1"] })] }),
+  );
+  expect(decided.get("e1")?.grants).toEqual([{ key: "k1", upstreamId: "u2" }]);
+});
+
+test("places of an entry that fell silent become free", () => {
+  const { hub, clock: manual } = createHub();
+  hub.receive(createState(1, {
+    entryId: "gone",
+    running: [
+      { key: "a", upstreamId: "u1", workspace: "w", promptTokens: 1 },
+      { key: "b", upstreamId: "u2", workspace: "w", promptTokens: 1 },
+    ],
+  }));
+  const waiting = [createWaiting("k1", { aimLeftMs: 5_000 })];
+  manual.advance(100);
+  expect(hub.receive(createState(1, { waiting })).get("e1")?.grants)
+    .toEqual([]);
+  manual.advance(1_450);
+  expect(hub.receive(createState(2, { waiting })).get("e1")?.grants)
+    .toHaveLength(1);
+});
--- a/packages/coordination/src/roster.ts
+++ b/packages/coordination/src/roster.ts
@@ -15,6 +15,8 @@
   readonly address: string;
   /** Wall-clock instant of its start; the lowest is the hub. */
   readonly incarnation: number;
+  /** Rises with each change of the details. */
+  readonly revision: number;
   readonly details: Details;
 }
 
@@ -42,7 +44,7 @@
 
 export interface RosterOptions<Details> {
   readonly clock: clock.Clock;
-  readonly self: MemberInfo<Details>;
+  readonly self: Omit<MemberInfo<Details>, "revision">;
   /** Addresses to begin with; the own one may be among them. */
   readonly seeds: readonly string[];
   /**
@@ -88,6 +90,14 @@
   return a.incarnation - b.incarnation || (a.id < b.id ? -1 : 1);
 }
 
+/** Tells which of two records of one member is the newer; 0 = the same. */
+function compareNews<Details>(
+  a: MemberInfo<Details>,
+  b: MemberInfo<Details>,
+): number {
+  return a.incarnation - b.incarnation || a.revision - b.revision;
+}
+
 /** Creates the roster of a member that knows nobody. */
 export function createRoster<Details>(
   options: RosterOptions<Details>,
@@ -96,7 +106,7 @@
   const silenceMs = options.silenceMs ?? defaultSilenceMs;
   const known = new Map<string, Known<Details>>();
   const seeds = new Set(options.seeds);
-  let self = options.self;
+  let self: MemberInfo<Details> = { ...options.self, revision: 1 };
   let ticks = 0;
   let nextSeed = 0;
 
@@ -117,11 +127,14 @@
     if (info.id === self.id) return;
     const heardAtMs = clock.now() - heardAgoMs;
     const before = known.get(info.id);
-    const isOlder = before !== undefined &&
-      (before.info.incarnation > info.incarnation ||
-        (before.info.incarnation === info.incarnation &&
-          before.heardAtMs >= heardAtMs));
-    if (!isOlder) known.set(info.id, { info, heardAtMs });
+    const isOlder = before !== undefined && compareNews(before.info, info) > 0;
+    if (isOlder) return;
+    const isSame = before !== undefined &&
+      compareNews(before.info, info) === 0;
+    known.set(info.id, {
+      info,
+      heardAtMs: isSame ? Math.max(before.heardAtMs, heardAtMs) : heardAtMs,
+    });
   }
 
   function createHello(): RosterMessage<Details> {
@@ -132,7 +145,7 @@
     const nowMs = clock.now();
     const members = listKnown().map(({ info, heardAtMs }) => ({
       info,
-      heardAgoMs: Math.round(nowMs - heardAtMs),
+      heardAgoMs: Math.ceil(nowMs - heardAtMs),
     }));
     return { kind: "roster", from: self, members };
   }
@@ -143,7 +156,7 @@
       .map(({ address }) => ({ to: address, message }));
   }
 
-  function greetSeed(): readonly RosterSend<Details>[] {
+  function sendToSeeds(): readonly RosterSend<Details>[] {
     const others = [...seeds].filter((address) => address !== self.address);
     const isAlone = listLive().length === 1;
     if (isAlone) {
@@ -155,7 +168,7 @@
   }
 
   /** Tells those that must know of this member as it is now. */
-  function announce(): readonly RosterSend<Details>[] {
+  function publish(): readonly RosterSend<Details>[] {
     const hub = getHub();
     return hub.id === self.id
       ? sendRoster()
@@ -165,13 +178,12 @@
   function handleHello(
     from: MemberInfo<Details>,
   ): readonly RosterSend<Details>[] {
-    const isNew = !known.has(from.id);
+    const before = known.get(from.id)?.info;
+    const isNews = before === undefined || compareNews(before, from) < 0;
     record(from, 0);
+    if (getHub().id === self.id) return isNews ? sendRoster() : [];
     // Whoever greets a member that is not the hub learns who is.
-    const isAnswered = getHub().id !== self.id || isNew;
-    return isAnswered
-      ? [{ to: from.address, message: createRosterMessage() }]
-      : [];
+    return [{ to: from.address, message: createRosterMessage() }];
   }
 
   function handleRoster(
@@ -190,15 +202,15 @@
   return {
     tick() {
       ticks += 1;
-      return [...announce(), ...greetSeed()];
+      return [...publish(), ...sendToSeeds()];
     },
     handle: (message) =>
       message.kind === "hello"
         ? handleHello(message.from)
         : handleRoster(message),
     setDetails(details) {
-      self = { ...self, details };
-      return announce();
+      self = { ...self, details, revision: self.revision + 1 };
+      return publish();
     },
     addSeeds(addresses) {
       for (const address of addresses) seeds.add(address);
--- /dev/null
+++ b/packages/coordination/src/roster_test.ts
@@ -0,0 +1,176 @@
+import * as clock from "./clock.ts";
+import * as random from "./random.ts";
+import * as roster from "./roster.ts";
+
+interface Node {
+  readonly id: string;
+  readonly roster: roster.Roster<string>;
+}
+
+interface Cluster {
+  readonly nodes: readonly Node[];
+  readonly clock: clock.ManualClock;
+  /** Messages delivered so far. */
+  countMessages(): number;
+  /** Runs ticks; `isCut` drops messages between two nodes. */
+  run(durationMs: number, options?: RunOptions): void;
+}
+
+interface RunOptions {
+  readonly isDown?: (id: string) => boolean;
+  readonly isCut?: (from: string, to: string) => boolean;
+  readonly loss?: number;
+}
+
+function createCluster(
+  count: number,
+  options: { readonly seeds?: readonly string[] } = {},
+): Cluster {
+  const manual = clock.createManualClock();
+  const draw = random.createRandomSource(1);
+  const nodes = Array.from({ length: count }, (_, index): Node => {
+    const id = `n${index}`;
+    return {
+      id,
+      roster: roster.createRoster({
+        clock: manual,
+        self: { id, address: id, incarnation: 100 + index, details: id },
+        seeds: options.seeds ?? ["n3", "n4", "n5"],
+      }),
+    };
+  });
+  let messages = 0;
+
+  function send(
+    from: string,
+    sends: readonly roster.RosterSend<string>[],
+    run: RunOptions,
+  ): void {
+    for (const { to, message } of sends) {
+      const isLost = run.isDown?.(to) || run.isCut?.(from, to) ||
+        draw() < (run.loss ?? 0);
+      if (isLost) continue;
+      messages += 1;
+      const target = nodes.find(({ id }) => id === to);
+      if (target === undefined) continue;
+      send(to, target.roster.handle(message), run);
+    }
+  }
+
+  return {
+    nodes,
+    clock: manual,
+    countMessages: () => messages,
+    run(durationMs, run = {}) {
+      for (let ms = 0; ms < durationMs; ms += roster.tickMs) {
+        manual.advance(roster.tickMs);
+        for (const { id, roster: own } of nodes) {
+          if (!run.isDown?.(id)) send(id, own.tick(), run);
+        }
+      }
+    },
+  };
+}
+
+function listHubs(
+  cluster: Cluster,
+  isDown: (id: string) => boolean = () => false,
+): readonly string[] {
+  const hubs = cluster.nodes.filter(({ id }) => !isDown(id))
+    .map((node) => node.roster.getHub().id);
+  return [...new Set(hubs)];
+}
+
+test("all find each other and the oldest is the hub", () => {
+  const cluster = createCluster(13);
+  cluster.run(1_000);
+  expect(listHubs(cluster)).toEqual(["n0"]);
+  for (const { roster: own } of cluster.nodes) {
+    expect(own.listLive()).toHaveLength(13);
+  }
+});
+
+test("messages grow with the number of members", () => {
+  const [small, large] = [createCluster(20), createCluster(60)];
+  for (const cluster of [small, large]) cluster.run(2_000);
+  const before = [small.countMessages(), large.countMessages()] as const;
+  for (const cluster of [small, large]) cluster.run(10_000);
+  const perMember = [
+    (small.countMessages() - before[0]) / 20,
+    (large.countMessages() - before[1]) / 60,
+  ] as const;
+  expect(perMember[1]).toBeLessThan(perMember[0] * 1.2);
+});
+
+test("the next oldest takes over from a hub that is down", () => {
+  const cluster = createCluster(13);
+  cluster.run(1_000);
+  const isDown = (id: string) => id === "n0";
+  cluster.run(1_600, { isDown });
+  expect(listHubs(cluster, isDown)).toEqual(["n1"]);
+  for (const { id, roster: own } of cluster.nodes) {
+    if (id !== "n0") expect(own.listLive()).toHaveLength(12);
+  }
+  cluster.run(1_000);
+  expect(listHubs(cluster)).toEqual(["n0"]);
+});
+
+test("a member that is down is forgotten by all, however they talk", () => {
+  const cluster = createCluster(13);
+  cluster.run(1_000);
+  const isDown = (id: string) => id === "n7";
+  cluster.run(2_000, { isDown });
+  for (const { id, roster: own } of cluster.nodes) {
+    if (id !== "n7") expect(own.listLive()).toHaveLength(12);
+  }
+});
+
+test("the parts of a partition go on and join again", () => {
+  const cluster = createCluster(13);
+  cluster.run(1_000);
+  const isLow = (id: string) => Number(id.slice(1)) < 4;
+  const isCut = (from: string, to: string) => isLow(from) !== isLow(to);
+  cluster.run(2_000, { isCut });
+  const hubs = (low: boolean) =>
+    new Set(
+      cluster.nodes.filter(({ id }) => isLow(id) === low)
+        .map((node) => node.roster.getHub().id),
+    );
+  expect(hubs(true)).toEqual(new Set(["n0"]));
+  expect(hubs(false)).toEqual(new Set(["n4"]));
+  cluster.run(3_000);
+  expect(listHubs(cluster)).toEqual(["n0"]);
+});
+
+test("a tenth of the messages may be lost", () => {
+  const cluster = createCluster(21);
+  cluster.run(2_000, { loss: 0.1 });
+  for (let turn = 0; turn < 50; turn += 1) {
+    cluster.run(200, { loss: 0.1 });
+    expect(listHubs(cluster)).toEqual(["n0"]);
+  }
+});
+
+test("one seed that lives is enough", () => {
+  const cluster = createCluster(6, { seeds: ["gone1", "gone2", "n5"] });
+  cluster.run(1_500);
+  expect(listHubs(cluster)).toEqual(["n0"]);
+});
+
+test("a change is told at once", () => {
+  const cluster = createCluster(3, { seeds: ["n0"] });
+  cluster.run(1_000);
+  const leaving = cluster.nodes[2]!;
+  const sends = leaving.roster.setDetails("leaving");
+  expect(sends.map(({ to }) => to)).toEqual(["n0"]);
+  const [hub, other] = cluster.nodes.map((node) => node.roster);
+  for (const { message } of sends) {
+    for (const { to, message: told } of hub!.handle(message)) {
+      if (to === "n1") other!.handle(told);
+    }
+  }
+  for (const told of [hub!, other!]) {
+    expect(told.listLive().map(({ details }) => details))
+      .toEqual(["n0", "n1", "leaving"]);
+  }
+});
