--- a/packages/anvilhinge/src/agent/ranks/map_duty.ts
+++ b/packages/anvilhinge/src/agent/ranks/map_duty.ts
@@ -25,6 +25,8 @@
 export interface MapDutyOptions {
   readonly engine: rankEngine.RankEngine;
   readonly experts: routing.ExpertSpec;
+  /** Requests that one rank works on at once. */
+  readonly slots: number;
   readonly scheduler: scheduler.Scheduler;
   readonly logger: logger.Logger;
   readonly callRank: CallRank;
@@ -61,13 +63,22 @@
 
 const readTimeoutMs = 250;
 const orderTimeoutMs = 2_600;
-/** The users' target for the most loaded rank, over the mean. */
-const targetSkew = 1.3;
+/**
+ * Skew above which a switch repays its copies, for an idle and for a full rank:
+ * a pass of few requests is short whatever the skew. 1.3 is the users' target.
+ */
+const idleSkew = 1.6;
+const busySkew = 1.3;
+/** Skew that is good enough not to copy more for it. */
+const enoughSkew = 1.3;
 /** Least part of the excess over the mean that a switch must take away. */
-const minExcessSaved = 0.25;
+const minExcessSaved = 0.4;
 /** Samples that must agree before a map is planned for them. */
 const minAgreeing = 2;
-const leadPasses = 2;
+/** Passes ahead at which a switch is set at most. */
+const maxLeadPasses = 6;
+/** Part of the longest time to arm that is believed after each switch. */
+const armingMemory = 0.8;
 /** Pause after a round that failed, in milliseconds. */
 const failurePauseMs = 300;
 
@@ -78,6 +89,10 @@
     layerCount: experts.sets,
     expertCount: experts.expertsPerSet,
   });
+  /** Longest late time to arm all ranks, and time of a pass, in milliseconds. */
+  let armingMs = 0;
+  let passMs = 0;
+  let seenStep: { readonly step: number; readonly atMs: number } | undefined;
   let lastHeldStep: number | undefined;
   let ledEpoch: number | undefined;
   let countedEpoch: number | undefined;
@@ -143,7 +158,7 @@
       holdRank: own.rank,
       rankCount: own.size,
       epoch: own.epoch,
-      leadPasses,
+      leadPasses: computeLeadPasses(),
       lastHeldStep: lastHeldStep ?? 0,
       createVersion: options.createVersion,
     });
@@ -209,13 +224,7 @@
       readonly popularity: countsWindow.Popularity;
     },
   ): Promise<void> {
-    const plan = boundedPlanner.planBounded({
-      map: { layers: map.layers },
-      shares: popularity.shares,
-      slotsPerRank: experts.slotsPerRank,
-      maxNewPerLayer: experts.maxNewPerRank,
-      maxNewPerRank: options.maxCopiesPerRank,
-    });
+    const plan = planCheapest(map, popularity);
     const { skewBefore, skewAfter, copies } = plan;
     const saved = (skewBefore - skewAfter) / Math.max(1e-9, skewBefore - 1);
     if (copies === 0 || saved < minExcessSaved) {
@@ -231,6 +240,8 @@
       states: map.states,
     });
     const isSwitched = outcome.kind === "switched";
+    const spentMs = phaseMs.arming ?? 0;
+    armingMs = Math.max(spentMs, armingMemory * armingMs);
     if (isSwitched) switchStep = outcome.step;
     else pausedUntilMs = scheduler.now() + failurePauseMs;
     logger.info(isSwitched ? "Switched the map" : "Kept the map", {
@@ -245,16 +256,58 @@
     });
   }
 
+  /** Plans with the fewest copies a rank that make the ranks even enough. */
+  function planCheapest(
+    map: GroupMap,
+    { shares }: countsWindow.Popularity,
+  ): boundedPlanner.BoundedPlan {
+    for (let copies = 1;; copies += 1) {
+      const plan = boundedPlanner.planBounded({
+        map: { layers: map.layers },
+        shares,
+        slotsPerRank: experts.slotsPerRank,
+        maxNewPerLayer: experts.maxNewPerRank,
+        maxNewPerRank: copies,
+      });
+      const isEnough = plan.skewAfter <= enoughSkew ||
+        copies >= options.maxCopiesPerRank;
+      if (isEnough) return plan;
+    }
+  }
+
   /** Skew of the map in force under the present demand, as a mean of layers. */
   function isWorthwhile(
     map: GroupMap,
     { shares }: countsWindow.Popularity,
+    occupancy: number,
   ): boolean {
     const skews = map.layers.map((ranks, layer) =>
       computeLayerSkew(ranks, shares[layer] ?? [])
     );
     const mean = skews.reduce((sum, skew) => sum + skew, 0) / skews.length;
-    return mean > targetSkew;
+    const busyness = Math.min(1, Math.max(0, occupancy));
+    return mean > idleSkew + busyness * (busySkew - idleSkew);
+  }
+
+  /**
+   * Passes that arming takes: a nearer pass would have to wait for the last
+   * rank, a later one keeps the old map in use for longer.
+   */
+  function computeLeadPasses(): number {
+    if (passMs === 0) return 2;
+    return Math.min(maxLeadPasses, 1 + Math.floor(armingMs / passMs));
+  }
+
+  /** Measures the time of a pass by the steps of the own rank. */
+  function observePass({ step }: rankPeers.RankStatus): void {
+    const nowMs = scheduler.now();
+    const before = seenStep;
+    if (before === undefined || step < before.step) {
+      seenStep = { step, atMs: nowMs };
+    } else if (step > before.step + 3) {
+      passMs = (nowMs - before.atMs) / (step - before.step);
+      seenStep = { step, atMs: nowMs };
+    }
   }
 
   /** Notes which passes of this epoch the process may have held. */
@@ -272,6 +325,7 @@
   return {
     async takeTurn(own) {
       enterEpoch(own);
+      observePass(own);
       const popularity = await observe();
       const isDue = popularity !== undefined &&
         popularity.agreeing >= minAgreeing && own.step >= switchStep &&
@@ -286,7 +340,9 @@
       if (map === undefined) return;
       const held = map.states.find(({ heldStep }) => heldStep !== undefined);
       if (held !== undefined) return clearHold(own, held, map.layers);
-      if (popularity === undefined || !isWorthwhile(map, popularity)) return;
+      if (popularity === undefined) return;
+      const occupancy = computeOccupancy(collected, options.slots);
+      if (!isWorthwhile(map, popularity, occupancy)) return;
       return switchMap(own, { map, popularity });
     },
     rest() {
@@ -311,6 +367,18 @@
   }
 }
 
+/** Part of the ranks' places that are taken. */
+function computeOccupancy(
+  collected: readonly Collected[],
+  slots: number,
+): number {
+  const running = collected.reduce(
+    (sum, { report }) => sum + report.running,
+    0,
+  );
+  return running / Math.max(1, slots * collected.length);
+}
+
 function computeLayerSkew(
   ranks: readonly (readonly number[])[],
   shares: readonly number[],
--- a/packages/anvilhinge/src/agent/routed_agent.ts
+++ b/packages/anvilhinge/src/agent/routed_agent.ts
@@ -12,7 +12,6 @@
 import type * as rankEngine from "../ports/rank_engine.ts";
 import type * as scheduler from "../ports/scheduler.ts";
 import type * as routedProcess from "../settings/routed_process.ts";
-import type * as routing from "../settings/routing.ts";
 import * as logger from "../telemetry/logger.ts";
 import type * as routingView from "../entry/routing/routing_view.ts";
 import * as mapDuty from "./ranks/map_duty.ts";
@@ -46,6 +45,9 @@
   readonly status: rankPeers.RankStatus;
 }
 
+/** What the leader must know of the group's engines. */
+type GroupSpec = Pick<mapDuty.MapDutyOptions, "experts" | "slots">;
+
 type Message =
   | StatusMessage
   | rankCalls.CallMessage
@@ -53,11 +55,14 @@
 
 /** Longest wait for the engine on the own machine. */
 const engineTimeoutMs = 60;
-const turnMs = 100;
+/** Time between two looks at the own engine. */
+const statusTurnMs = 100;
 /** Turns between two statuses to all ranks, for the ranks that may lead next. */
 const candidateTurns = 2;
 /** The same for all others. */
 const helloTurns = 10;
+/** Time between two turns of the leader; about a pass. */
+const leaderTurnMs = 50;
 const maxCopiesPerRank = 2;
 /** Time between two reads of the store while something is unknown. */
 const storeRetryMs = 1_000;
@@ -94,7 +99,7 @@
   const { port } = hostPort.parseAddress(settings.peers);
   const own = hostPort.parseAddress(settings.peers);
   let addresses: readonly string[] = [];
-  let experts: routing.ExpertSpec | undefined;
+  let spec: GroupSpec | undefined;
   let duty: mapDuty.MapDuty | undefined;
   /** Epoch that was open when the process first looked. */
   let firstOpenEpoch: number | undefined;
@@ -125,7 +130,7 @@
   /** Learns the group's engines and where the other agents listen. */
   async function readStore(): Promise<boolean> {
     const [routingList, upstreams] = await Promise.all([
-      experts === undefined
+      spec === undefined
         ? store.list(platform.source.routingPrefix)
         : undefined,
       store.list(platform.source.upstreamsPrefix),
@@ -135,8 +140,12 @@
         platform.source.decodeRouting(object) ?? []
       )[0]
       : undefined;
-    experts ??= found?.services
-      .find(({ name }) => name === settings.service)?.engine?.experts;
+    const engineSpec = found?.services
+      .find(({ name }) => name === settings.service)?.engine;
+    if (engineSpec?.experts !== undefined) {
+      const { experts, slots } = engineSpec;
+      spec ??= { experts, slots };
+    }
     if (upstreams.kind === "unavailable") return false;
     const hosts = upstreams.objects
       .flatMap((object) => platform.source.decodeUpstream(object) ?? [])
@@ -144,7 +153,7 @@
       .map(({ address }) => hostPort.parseAddress(address).host)
       .filter((host) => host !== own.host);
     addresses = [...new Set(hosts)].map((host) => `${host}:${port}`);
-    return experts !== undefined && addresses.length > 0;
+    return spec !== undefined && addresses.length > 0;
   }
 
   async function followStore(): Promise<void> {
@@ -176,16 +185,16 @@
       size,
       rank: state.rank,
       epoch: state.epoch,
-      canLead: state.isOpen && experts !== undefined,
+      canLead: state.isOpen && spec !== undefined,
       heldStep: state.heldStep,
       step: state.step,
     };
     peers.setOwn(status);
     sendStatus(status);
-    await lead(status);
+    noteLeading(status);
   }
 
-  async function lead(status: rankPeers.RankStatus): Promise<void> {
+  function noteLeading(status: rankPeers.RankStatus): void {
     const leads = peers.isLeading();
     if (leads !== isLeading) {
       isLeading = leads;
@@ -196,13 +205,27 @@
         live: peers.listLive().length + 1,
       });
     }
-    if (!leads || experts === undefined) {
-      duty?.rest();
-      return;
+    if (!leads) duty?.rest();
+  }
+
+  /** Takes turns while this agent leads; its statuses go on meanwhile. */
+  async function lead(): Promise<void> {
+    while (!signal.aborted) {
+      const status = peers.getOwn();
+      if (isLeading && status !== undefined && spec !== undefined) {
+        await getDuty(status, spec).takeTurn(status);
+      }
+      await wait(leaderTurnMs);
     }
+  }
+
+  function getDuty(
+    status: rankPeers.RankStatus,
+    group: GroupSpec,
+  ): mapDuty.MapDuty {
     duty ??= mapDuty.createMapDuty({
       engine,
-      experts,
+      ...group,
       scheduler: clock,
       logger: log,
       callRank,
@@ -213,7 +236,7 @@
       isEpochNew,
       maxCopiesPerRank,
     });
-    await duty.takeTurn(status);
+    return duty;
   }
 
   const callRank: mapDuty.CallRank = async (rank, call, options) => {
@@ -227,7 +250,7 @@
   async function takeTurns(): Promise<void> {
     while (!signal.aborted) {
       await takeTurn();
-      await wait(turnMs);
+      await wait(statusTurnMs);
     }
   }
 
@@ -244,6 +267,7 @@
   log.info("Starts", { id: settings.id, upstream: settings.upstream });
   void followStore();
   void takeTurns();
+  void lead();
   await abortSignal.waitForAbort(asked);
   log.info("Stopped");
   abort.abort();
--- a/packages/anvilhinge/src/ports/rank_engine.ts
+++ b/packages/anvilhinge/src/ports/rank_engine.ts
@@ -7,6 +7,10 @@
   /** Ranks of the group. */
   readonly size: number;
   readonly state: rankOrders.RankState;
+  /** Requests that it works on. */
+  readonly running: number;
+  /** Requests that wait for it. */
+  readonly waiting: number;
   /** Wall-clock instant of the engine's start. */
   readonly startedAtMs: number;
 }
