--- a/packages/anvilhinge/src/entry/callers/routed_answer.ts
+++ b/packages/anvilhinge/src/entry/callers/routed_answer.ts
@@ -1,5 +1,6 @@
 /** Writes the answer of a session before routed services to an HTTP response. */
 import type * as http from "node:http";
+import type * as clock from "@anvilhinge/coordination/clock";
 import type * as engine from "../../ports/engine.ts";
 import type * as runner from "../session/runner.ts";
 import type * as session from "../session/session.ts";
@@ -55,18 +56,50 @@
 }
 
 export interface RoutedAnswer extends runner.AnswerSink {
-  /** Status that was written; 0 before. */
+  /** Status that was written; 200 before. */
   getStatus(): number;
+  getTimes(): AnswerTimes;
+}
+
+/** When the parts of an answer went out. */
+export interface AnswerTimes {
+  /** Instant of the first part; undefined when none went out. */
+  readonly firstAtMs: number | undefined;
+  /** Longest pause between two parts, in milliseconds. */
+  readonly longestPauseMs: number;
+}
+
+export interface RoutedAnswerOptions {
+  /** True for answers that are sent in one piece. */
+  readonly isWhole: boolean;
+  readonly clock: clock.Clock;
+  /** Called with each pause between two parts, in milliseconds. */
+  readonly onPause: (pauseMs: number) => void;
 }
 
 /** Creates the sink of one answer; `whole` answers get their length. */
 export function createRoutedAnswer(
   response: http.ServerResponse,
-  { isWhole }: { readonly isWhole: boolean },
+  { isWhole, clock, onPause }: RoutedAnswerOptions,
 ): RoutedAnswer {
   let head: engine.AnswerHead | undefined;
   let held: Uint8Array[] = [];
   let isOpen = false;
+  let firstAtMs: number | undefined;
+  let lastAtMs = 0;
+  let longestPauseMs = 0;
+
+  function recordPart(): void {
+    const nowMs = clock.now();
+    if (firstAtMs === undefined) {
+      firstAtMs = nowMs;
+    } else {
+      const pauseMs = nowMs - lastAtMs;
+      longestPauseMs = Math.max(longestPauseMs, pauseMs);
+      onPause(pauseMs);
+    }
+    lastAtMs = nowMs;
+  }
 
   function open(extra: readonly string[] = []): void {
     if (isOpen || head === undefined) return;
@@ -82,6 +115,7 @@
 
   return {
     getStatus: () => response.statusCode,
+    getTimes: () => ({ firstAtMs, longestPauseMs }),
     head(received) {
       head = received;
       response.statusCode = received.status;
@@ -92,6 +126,7 @@
         return;
       }
       open();
+      recordPart();
       response.write(data);
     },
     end() {
--- a/packages/anvilhinge/src/entry/callers/routed_http.ts
+++ b/packages/anvilhinge/src/entry/callers/routed_http.ts
@@ -187,6 +187,8 @@
     }, (event) => feed(event));
     const sink = routedAnswer.createRoutedAnswer(response, {
       isWhole: !isStream,
+      clock: scheduler,
+      onPause: places.recordPause,
     });
     let attempts = 0;
     state.openRequests += 1;
@@ -215,12 +217,17 @@
     void done.then(() => {
       state.openRequests -= 1;
       places.end();
+      const { firstAtMs, longestPauseMs } = sink.getTimes();
       options.logger.info("Request done", {
         requestId,
         route: route.name,
+        workspace: needed.workspace,
         status: callerGone.signal.aborted ? "gone" : sink.getStatus(),
         attempts,
         tookMs: Math.round(scheduler.now() - arrivedAtMs),
+        firstMs: firstAtMs && Math.round(firstAtMs - arrivedAtMs),
+        longestPauseMs: Math.round(longestPauseMs),
+        ...places.describe(),
       });
     });
   }
--- a/packages/anvilhinge/src/entry/choice/place_dispatch.ts
+++ b/packages/anvilhinge/src/entry/choice/place_dispatch.ts
@@ -9,6 +9,7 @@
 import * as workHub from "@anvilhinge/coordination/dispatch/work_hub";
 import type * as datagrams from "../../adapters/datagrams.ts";
 import type * as scheduler from "../../ports/scheduler.ts";
+import type * as logger from "../../telemetry/logger.ts";
 
 /** Where the hub is and who shares the places. */
 export interface DispatchMembers {
@@ -24,6 +25,7 @@
   readonly scheduler: scheduler.Scheduler;
   readonly random: random.RandomSource;
   readonly sockets: datagrams.Datagrams;
+  readonly logger: logger.Logger;
   readonly signal: AbortSignal;
   readonly onEvent: (event: workClient.WorkEvent) => void;
 }
@@ -33,7 +35,11 @@
   | { readonly kind: "decisions"; readonly decisions: work.Decisions };
 
 export interface PlaceDispatch {
-  setPlaces(places: readonly work.PlaceSpec[]): void;
+  setPlaces(
+    places: readonly work.PlaceSpec[],
+    specs: readonly work.PoolSpec[],
+  ): void;
+  recordPause(pool: string, pauseMs: number): void;
   ask(asked: workClient.NewWork): void;
   start(running: work.RunningWork): void;
   drop(key: string): void;
@@ -45,6 +51,7 @@
 const waitingIntervalMs = 25;
 /** Time between two states otherwise. */
 const idleIntervalMs = 250;
+const showIntervalMs = 1_000;
 /** Time in which a new hub learns what runs before it decides. */
 const learningMs = 300;
 
@@ -67,6 +74,7 @@
   /** Addresses of the entries that sent their states, by id. */
   const addresses = new Map<string, string>();
   let hubSinceMs: number | undefined;
+  let shownAtMs = -Infinity;
   let isReportDue = false;
   let sentAtMs = -Infinity;
 
@@ -114,7 +122,15 @@
     scheduler.schedule(report, { delayMs: 0, signal });
   }
 
+  /** Logs what the hub knows, for whoever asks why requests were refused. */
+  function showLoad(): void {
+    if (!isDeciding() || scheduler.now() - shownAtMs < showIntervalMs) return;
+    shownAtMs = scheduler.now();
+    options.logger.info("Load of the pools", { pools: hub.describe() });
+  }
+
   function tick(): void {
+    showLoad();
     emit(client.tick());
     const isWaiting = client.hasWaiting();
     const interval = isWaiting ? waitingIntervalMs : idleIntervalMs;
@@ -125,10 +141,11 @@
 
   tick();
   return {
-    setPlaces(places) {
+    setPlaces(places, specs) {
       client.setPlaces(places);
-      hub.setPlaces(places);
+      hub.setPlaces(places, specs);
     },
+    recordPause: client.recordPause,
     ask(asked) {
       client.ask(asked);
       scheduleReport();
--- a/packages/anvilhinge/src/entry/choice/routed_policy.ts
+++ b/packages/anvilhinge/src/entry/choice/routed_policy.ts
@@ -3,6 +3,7 @@
  * of one request: at which upstream there is a place, and whether another try
  * is within the budget.
  */
+import type * as work from "@anvilhinge/coordination/dispatch/work";
 import type * as workClient from "@anvilhinge/coordination/dispatch/work_client";
 import * as health from "@anvilhinge/coordination/health";
 import type * as random from "@anvilhinge/coordination/random";
@@ -39,12 +40,26 @@
   recordOutcome(
     observation: Extract<session.SessionEffect, { kind: "observe" }>,
   ): void;
+  /** Records a pause between two events of the answer, in milliseconds. */
+  recordPause(pauseMs: number): void;
+  /** What was decided for the request, for its log line. */
+  describe(): PlaceRecord;
   /** Must be called once, when the request is done. */
   end(): void;
 }
 
+/** What was decided for one request. */
+export interface PlaceRecord {
+  /** Upstreams that it was sent to, in order. */
+  readonly upstreams: readonly string[];
+  /** Who decided last. */
+  readonly decidedBy?: string;
+  /** Time that it waited for places, in milliseconds. */
+  readonly waitedMs: number;
+}
+
 export interface RoutedPolicy {
-  setServices(services: readonly routing.ServiceSpec[]): void;
+  setRouting(settings: routing.RoutingSettings): void;
   setUpstreams(upstreams: readonly routing.ListedUpstream[]): void;
   startRequest(work: RoutedWork, decide: DecideWaiting): RequestPlaces;
   handleMessage(message: placeDispatch.DispatchMessage, from: string): void;
@@ -78,7 +93,10 @@
 }
 
 interface Asking {
-  readonly decide: DecideWaiting;
+  readonly decide: (
+    event: Parameters<DecideWaiting>[0],
+    by: workClient.WorkEvent["by"],
+  ) => void;
 }
 
 const noUpstreamRetryMs = 1_000;
@@ -86,6 +104,8 @@
 /** Part of the retry budget that is used, since entries count apart. */
 const usedBudgetShare = 0.8;
 const millisecondsPerSecond = 1_000;
+/** Part of the longest pause that a pass may take; the rest is the way. */
+const passShareOfGap = 0.93;
 
 /** Creates a policy that knows no upstreams. */
 export function createRoutedPolicy(
@@ -94,6 +114,7 @@
   const { scheduler: clock, retries } = options;
   const known = new Map<string, Known>();
   const services = new Map<string, routing.ServiceSpec>();
+  let routes: readonly routing.Route[] = [];
   /** Requests that wait for a place, by the key under which they asked. */
   const asking = new Map<string, Asking>();
   const checked = health.createHealth({
@@ -116,6 +137,7 @@
     scheduler: clock,
     random: options.random,
     sockets: options.sockets,
+    logger: options.logger,
     signal: options.signal,
     onEvent: handleEvent,
   });
@@ -127,15 +149,17 @@
     if (event.kind === "denied") {
       const reason = `No place is expected soon (said by the ${event.by})`;
       const { retryAfterMs } = event;
-      return found.decide({ kind: "denied", reason, retryAfterMs });
+      return found.decide({ kind: "denied", reason, retryAfterMs }, event.by);
     }
     const granted = known.get(event.upstreamId);
     if (granted === undefined) {
       dispatch.drop(event.key);
       const reason = `Upstream ${event.upstreamId} has gone`;
-      return found.decide({ kind: "denied", reason, retryAfterMs: 0 });
+      const denied = { kind: "denied", reason, retryAfterMs: 0 } as const;
+      return found.decide(denied, event.by);
     }
-    found.decide({ kind: "granted", upstream: granted.upstream });
+    const { upstream } = granted;
+    found.decide({ kind: "granted", upstream }, event.by);
   }
 
   function listUsable(service: string): readonly Known[] {
@@ -144,6 +168,26 @@
     );
   }
 
+  /** Pauses that the routes of a service allow, in milliseconds. */
+  function findGapTarget(service: string): number {
+    const targets = routes
+      .filter((route) => route.targets.some((to) => to.service === service))
+      .flatMap(({ gapTargetMs }) => gapTargetMs ?? []);
+    return Math.min(Infinity, ...targets);
+  }
+
+  function listPools(): readonly work.PoolSpec[] {
+    return [...services.values()].flatMap(({ name, engine }) => {
+      const gapMs = findGapTarget(name);
+      if (engine === undefined || gapMs === Infinity) return [];
+      return [{
+        pool: name,
+        basePassMs: engine.stepsPerPass * engine.stepMs,
+        targetPassMs: passShareOfGap * gapMs,
+      }];
+    });
+  }
+
   function updatePlaces(): void {
     dispatch.setPlaces(
       [...known.values()]
@@ -157,6 +201,7 @@
           failureDomain: listed.failureDomain,
           slots: listed.slots,
         })),
+      listPools(),
     );
   }
 
@@ -191,6 +236,9 @@
     let asked = 0;
     let open: Known | undefined;
     let key = "";
+    const sentTo: string[] = [];
+    let decidedBy: string | undefined;
+    let waitedMs = 0;
     budget.recordRequest();
 
     function release(): void {
@@ -212,7 +260,13 @@
       const ejected = usable.map(({ listed }) => listed.id)
         .filter((id) => !checked.isAvailable(id));
       const nowMs = clock.now();
-      asking.set(key, { decide });
+      asking.set(key, {
+        decide(event, by) {
+          decidedBy = by;
+          waitedMs += clock.now() - nowMs;
+          decide(event);
+        },
+      });
       dispatch.ask({
         key,
         pool: work.service,
@@ -234,7 +288,18 @@
           ? chooseLeastLoaded(work.service, tried)
           : askForPlace(tried),
       takeRetry: budget.take,
+      recordPause(pauseMs) {
+        if (engine !== undefined) {
+          dispatch.recordPause(work.service, pauseMs);
+        }
+      },
+      describe: () => ({
+        upstreams: sentTo,
+        decidedBy,
+        waitedMs: Math.round(waitedMs),
+      }),
       recordDispatch(upstream) {
+        sentTo.push(upstream.id);
         open = known.get(upstream.id);
         if (open !== undefined) open.open += 1;
         checked.recordSent(upstream.id);
@@ -255,9 +320,10 @@
   }
 
   return {
-    setServices(specs) {
+    setRouting(settings) {
       services.clear();
-      for (const spec of specs) services.set(spec.name, spec);
+      for (const spec of settings.services) services.set(spec.name, spec);
+      routes = settings.routes;
       updatePlaces();
     },
     setUpstreams(upstreams) {
--- a/packages/anvilhinge/src/entry/routed_entry.ts
+++ b/packages/anvilhinge/src/entry/routed_entry.ts
@@ -176,8 +176,9 @@
     random: randomSource,
     logger: log,
     signal: abort.signal,
-    onRouting: ({ settings: { limits, services } }) => {
-      policy.setServices(services);
+    onRouting({ settings: inForce }) {
+      const { limits } = inForce;
+      policy.setRouting(inForce);
       callers.keepAliveTimeout = limits.idleTimeoutMs;
       callers.headersTimeout = limits.headerTimeoutMs;
     },
--- a/packages/anvilhinge/src/entry/session/runner.ts
+++ b/packages/anvilhinge/src/entry/session/runner.ts
@@ -194,6 +194,8 @@
         case "settle":
           return settle(effect);
         case "dispatch":
+          // Before an agent the attempt began with its preparation.
+          if (options.agents === undefined) options.onDispatch(effect.upstream);
           return client.run(
             effect.attempt,
             openStream(effect.attempt.attemptId, effect.upstream),
--- /dev/null
+++ b/packages/anvilhinge/src/entry/session/runner_direct_test.ts
@@ -0,0 +1,73 @@
+import * as manualScheduler from "../../testing/manual_scheduler.ts";
+import * as sessionDriver from "../../testing/session_driver.ts";
+import type * as agentClient from "./agent_client.ts";
+import * as runner from "./runner.ts";
+import * as session from "./session.ts";
+
+function createRequest(): session.Request {
+  return {
+    requestId: "r1",
+    workspace: "w",
+    work: {
+      kind: "service",
+      service: "s",
+      method: "GET",
+      path: "/",
+      headers: [],
+      body: new Uint8Array(),
+    },
+    isRepeatable: true,
+    isNamed: false,
+    digest: "",
+    priority: 1,
+    deadlineAtMs: 1_000,
+    delivery: "whole",
+  };
+}
+
+test("each attempt without an agent is told once, and its end follows", async () => {
+  const scheduler = manualScheduler.createManualScheduler();
+  const told: string[] = [];
+  const streams: agentClient.StreamOptions[] = [];
+  const request = createRequest();
+  let attempts = 0;
+  const done = runner.runSession({
+    request,
+    session: session.createSession(request, {
+      gate: "none",
+      clock: scheduler,
+      readWallMs: () => 0,
+      createAttemptId: () => `a${++attempts}`,
+      chooseUpstream: (tried) => ({
+        kind: "chosen",
+        upstream: sessionDriver.createUpstream(tried.size),
+      }),
+      takeRetry: () => true,
+      maxAttempts: 2,
+    }),
+    client: {
+      run: (_attempt, stream) => void streams.push(stream),
+      resume: () => {},
+      seal: () => Promise.resolve("unreachable"),
+      cancel: () => {},
+    },
+    scheduler,
+    sink: { head() {}, data() {}, end() {}, answer() {} },
+    callerSignal: new AbortController().signal,
+    onDispatch: ({ id }) => void told.push(`sent ${id}`),
+    onObserve: ({ upstream, outcome }) =>
+      void told.push(`${outcome} ${upstream.id}`),
+  });
+  streams[0]!.onEnd({ kind: "broken", sent: true, message: "reset" });
+  const name = { requestId: "r1", attemptId: "a2" };
+  const head = { status: 200, headers: [] };
+  const frames = [
+    { kind: "accepted", incarnation: "", head },
+    { kind: "end", frameCount: 2, load: sessionDriver.noLoad },
+  ] as const;
+  frames.forEach((body, sequence) =>
+    streams[1]!.onFrame({ ...name, sequence, body })
+  );
+  await done;
+  expect(told).toEqual(["sent g/0", "lost g/0", "sent g/1", "completed g/1"]);
+});
--- a/packages/coordination/src/dispatch/work.ts
+++ b/packages/coordination/src/dispatch/work.ts
@@ -33,6 +33,13 @@
   readonly promptTokens: number;
 }
 
+/** How long passes of a pool took lately, as its streams showed. */
+export interface PassTime {
+  readonly pool: string;
+  /** Median pause between events of the entry's streams, in milliseconds. */
+  readonly passMs: number;
+}
+
 /** All work of one entry. */
 export interface WorkState {
   readonly entryId: string;
@@ -42,6 +49,7 @@
   readonly sequence: number;
   readonly waiting: readonly WaitingWork[];
   readonly running: readonly RunningWork[];
+  readonly passes: readonly PassTime[];
 }
 
 export interface Grant {
@@ -63,6 +71,15 @@
   readonly denials: readonly Denial[];
 }
 
+/** Upstreams that advance in passes of one length. */
+export interface PoolSpec {
+  readonly pool: string;
+  /** Time of a pass without requests, in milliseconds. */
+  readonly basePassMs: number;
+  /** Longest pass at which streams are still on time. */
+  readonly targetPassMs: number;
+}
+
 /** An upstream with places. */
 export interface PlaceSpec {
   readonly id: string;
--- a/packages/coordination/src/dispatch/work_client.ts
+++ b/packages/coordination/src/dispatch/work_client.ts
@@ -50,6 +50,8 @@
   ask(asked: NewWork): void;
   /** Notes that a request occupies a place. */
   start(running: work.RunningWork): void;
+  /** Records a pause between two events of a stream. */
+  recordPause(pool: string, pauseMs: number): void;
   /** Drops a request, whether it waits or runs. */
   drop(key: string): void;
   /** Builds the state for the hub; each call raises its sequence number. */
@@ -72,6 +74,8 @@
 const defaultHubPatienceMs = 80;
 const defaultMaxWaitMs = 1_500;
 const shareRetryMs = 300;
+/** Pauses of which the median counts. */
+const minPauses = 3;
 
 /** Creates the side of one entry. */
 export function createWorkClient(options: WorkClientOptions): WorkClient {
@@ -80,6 +84,8 @@
   const maxWaitMs = options.maxWaitMs ?? defaultMaxWaitMs;
   const waiting = new Map<string, Waiting>();
   const running = new Map<string, work.RunningWork>();
+  /** Pauses of streams since the last state, by pool. */
+  const pauses = new Map<string, number[]>();
   let places: readonly work.PlaceSpec[] = [];
   let sequence = 0;
   let answeredAtMs = -Infinity;
@@ -146,6 +152,18 @@
     return { kind: "denied", key, retryAfterMs, by: "share" };
   }
 
+  /** Returns the median of each pool that has enough pauses, and forgets them. */
+  function takePasses(): readonly work.PassTime[] {
+    const passes: work.PassTime[] = [];
+    for (const [pool, found] of pauses) {
+      if (found.length < minPauses) continue;
+      found.sort((a, b) => a - b);
+      passes.push({ pool, passMs: found[Math.floor(found.length / 2)]! });
+      pauses.delete(pool);
+    }
+    return passes;
+  }
+
   return {
     setPlaces(next) {
       places = next;
@@ -162,6 +180,11 @@
       waiting.delete(work.key);
       running.set(work.key, work);
     },
+    recordPause(pool, pauseMs) {
+      const known = pauses.get(pool) ?? [];
+      known.push(pauseMs);
+      pauses.set(pool, known);
+    },
     drop(key) {
       waiting.delete(key);
       running.delete(key);
@@ -175,6 +198,7 @@
         failureDomain: options.failureDomain,
         sequence,
         running: [...running.values()],
+        passes: takePasses(),
         waiting: [...waiting.values()].map(({ asked, askedAtMs }) => {
           const ageMs = Math.round(nowMs - askedAtMs);
           return {
--- a/packages/coordination/src/dispatch/work_hub.ts
+++ b/packages/coordination/src/dispatch/work_hub.ts
@@ -5,6 +5,9 @@
  *
  * - Places of a pool are the slots of its upstreams. Requests beyond them wait
  *   here and not at an upstream, where they could not be ordered.
+ * - The pool as a whole takes no more than what keeps a pass under its target,
+ *   by the longest pass that each request lately cost: all streams of a group
+ *   pause for its passes, so one request too many makes all of them late.
  * - Requests that can still meet their aim go before those that can't; within
  *   that by priority, then by the workspace that has the fewest places, then by
  *   age.
@@ -34,7 +37,10 @@
 }
 
 export interface WorkHub {
-  setPlaces(places: readonly work.PlaceSpec[]): void;
+  setPlaces(
+    places: readonly work.PlaceSpec[],
+    specs?: readonly work.PoolSpec[],
+  ): void;
   /**
    * Takes an entry's state; returns what is decided for it and for others whose
    * requests got a place or a refusal now, by entry id.
@@ -51,6 +57,8 @@
   readonly waiting: number;
   readonly taken: number;
   readonly slots: number;
+  /** Requests that the pool takes at once. */
+  readonly limit: number;
   /** Places that become free in a second. */
   readonly freedPerSecond: number;
 }
@@ -82,6 +90,10 @@
 
 interface Pool {
   readonly places: work.PlaceSpec[];
+  readonly spec: work.PoolSpec | undefined;
+  /** Part of a pass that one request cost at worst, and when it was seen. */
+  worstCostMs: number;
+  worstAtMs: number;
   /** Moving rate at which places become free. */
   freedPerSecond: number;
   freed: number;
@@ -94,6 +106,14 @@
 const grantLifeMs = 400;
 const rateIntervalMs = 500;
 const rateWeight = 0.3;
+/** Time after which half of the worst cost is believed; demand may shift again. */
+const costHalfLifeMs = 10_000;
+/** Part of the slots below which the cost of one request can't be told. */
+const minMeasuredShare = 0.2;
+/** Part of the slots that is used at least. */
+const minLimitShare = 0.65;
+/** Passes over the target by this factor waited for something else. */
+const maxPassOverTarget = 1.25;
 const millisecondsPerSecond = 1_000;
 const minRetryMs = 100;
 const maxRetryMs = 2_500;
@@ -143,10 +163,50 @@
   }
 
   function countFreeOfPool(pool: Pool): number {
-    return pool.places.reduce(
+    const free = pool.places.reduce(
       (sum, place) => sum + Math.max(0, countFree(place)),
       0,
     );
+    return Math.min(free, computeLimit(pool) - countTakenOfPool(pool));
+  }
+
+  function countSlots(pool: Pool): number {
+    return pool.places.reduce((sum, { slots }) => sum + slots, 0);
+  }
+
+  function countTakenOfPool(pool: Pool): number {
+    return pool.places.reduce(
+      (sum, { id }) => sum + (taken.get(id)?.requests ?? 0),
+      0,
+    );
+  }
+
+  function readCost(pool: Pool): number {
+    const ageMs = clock.now() - pool.worstAtMs;
+    return pool.worstCostMs * 2 ** (-ageMs / costHalfLifeMs);
+  }
+
+  /** Learns from a pass what one request costs at worst. */
+  function recordPass({ pool: name, passMs }: work.PassTime): void {
+    const pool = pools.get(name);
+    if (pool?.spec === undefined) return;
+    if (passMs > maxPassOverTarget * pool.spec.targetPassMs) return;
+    const running = countTakenOfPool(pool);
+    if (running < minMeasuredShare * countSlots(pool)) return;
+    const cost = Math.max(0, passMs - pool.spec.basePassMs) / running;
+    if (cost <= readCost(pool)) return;
+    pool.worstCostMs = cost;
+    pool.worstAtMs = clock.now();
+  }
+
+  /** Requests that the pool takes at once. */
+  function computeLimit(pool: Pool): number {
+    const slots = countSlots(pool);
+    const cost = readCost(pool);
+    if (pool.spec === undefined || cost === 0) return slots;
+    const { targetPassMs, basePassMs } = pool.spec;
+    const limit = Math.floor((targetPassMs - basePassMs) / cost);
+    return Math.min(slots, Math.max(minLimitShare * slots, limit));
   }
 
   /** Load of a rank for the choice among those with free places. */
@@ -220,11 +280,14 @@
   }
 
   function grantPlaces(poolName: string, pool: Pool): void {
+    let left = computeLimit(pool) - countTakenOfPool(pool);
     for (const waiting of listWaiting(poolName)) {
+      if (left < 1) return;
       const place = choosePlace(waiting, pool);
       if (place === undefined) continue;
       const entry = entries.get(waiting.entryId);
       if (entry === undefined) continue;
+      left -= 1;
       entry.waiting.delete(waiting.key);
       entry.granted.set(waiting.key, {
         grant: { key: waiting.key, upstreamId: place.id },
@@ -343,7 +406,7 @@
   }
 
   return {
-    setPlaces(places) {
+    setPlaces(places, specs = []) {
       placeById.clear();
       const before = new Map(pools);
       pools.clear();
@@ -357,6 +420,9 @@
         const previous = before.get(place.pool);
         pools.set(place.pool, {
           places: [place],
+          spec: specs.find(({ pool }) => pool === place.pool),
+          worstCostMs: previous?.worstCostMs ?? 0,
+          worstAtMs: previous?.worstAtMs ?? 0,
           freedPerSecond: previous?.freedPerSecond ?? 0,
           freed: previous?.freed ?? 0,
           measuredAtMs: previous?.measuredAtMs ?? clock.now(),
@@ -377,6 +443,7 @@
         entries.set(state.entryId, entry);
       }
       updateEntry(entry, state);
+      state.passes.forEach(recordPass);
       return decideAll().set(state.entryId, takeDecisions(entry));
     },
     decide: decideAll,
@@ -384,11 +451,9 @@
       [...pools].map(([name, pool]) => ({
         pool: name,
         waiting: listWaiting(name).length,
-        taken: pool.places.reduce(
-          (sum, { id }) => sum + (taken.get(id)?.requests ?? 0),
-          0,
-        ),
-        slots: pool.places.reduce((sum, { slots }) => sum + slots, 0),
+        taken: countTakenOfPool(pool),
+        slots: countSlots(pool),
+        limit: computeLimit(pool),
         freedPerSecond: pool.freedPerSecond,
       })),
   };
--- a/packages/coordination/src/dispatch/work_hub_test.ts
+++ b/packages/coordination/src/dispatch/work_hub_test.ts
@@ -102,6 +102,7 @@
     sequence,
     waiting: [],
     running: [],
+    passes: [],
     ...options,
   };
 }
--- a/packages/coordination/src/testing/dispatch_world.ts
+++ b/packages/coordination/src/testing/dispatch_world.ts
@@ -125,6 +125,7 @@
           workspace: "w",
           promptTokens: 800,
         })),
+      passes: [],
     };
   }
 
