--- a/packages/anvilhinge/src/agent/ranks/map_duty.ts
+++ b/packages/anvilhinge/src/agent/ranks/map_duty.ts
@@ -77,6 +77,10 @@
 const minAgreeing = 2;
 /** Passes ahead at which a switch is set at most. */
 const maxLeadPasses = 6;
+/** Passes more while answers to orders get lost: time for two repetitions. */
+const lossyLeadPasses = 2;
+/** Time for which a lost answer makes others likely. */
+const lossySpellMs = 5_000;
 /** Part of the longest time to arm that is believed after each switch. */
 const armingMemory = 0.8;
 /** Pause after a round that failed, in milliseconds. */
@@ -93,6 +97,7 @@
   let armingMs = 0;
   let passMs = 0;
   let seenStep: { readonly step: number; readonly atMs: number } | undefined;
+  let lossyUntilMs = -Infinity;
   let lastHeldStep: number | undefined;
   let ledEpoch: number | undefined;
   let countedEpoch: number | undefined;
@@ -158,7 +163,7 @@
       holdRank: own.rank,
       rankCount: own.size,
       epoch: own.epoch,
-      leadPasses: computeLeadPasses(),
+      computeLead,
       lastHeldStep: lastHeldStep ?? 0,
       createVersion: options.createVersion,
     });
@@ -291,11 +296,16 @@
 
   /**
    * Passes that arming takes: a nearer pass would have to wait for the last
-   * rank, a later one keeps the old map in use for longer.
+   * rank, a later one keeps the old map in use for longer. Answers that get
+   * lost come in spells, so one that was lost makes more of them likely.
    */
-  function computeLeadPasses(): number {
-    if (passMs === 0) return 2;
-    return Math.min(maxLeadPasses, 1 + Math.floor(armingMs / passMs));
+  function computeLead(mostSendings: number): number {
+    const nowMs = scheduler.now();
+    if (mostSendings > 1) lossyUntilMs = nowMs + lossySpellMs;
+    const added = nowMs < lossyUntilMs ? lossyLeadPasses : 0;
+    if (passMs === 0) return 2 + added;
+    const passes = 1 + Math.floor(armingMs / passMs) + added;
+    return Math.min(maxLeadPasses, passes);
   }
 
   /** Measures the time of a pass by the steps of the own rank. */
--- a/packages/anvilhinge/src/agent/routed_agent.ts
+++ b/packages/anvilhinge/src/agent/routed_agent.ts
@@ -28,7 +28,10 @@
   readonly source: routingView.RoutingSource;
   createRankEngine(options: {
     readonly address: string;
-    readonly timeoutMs: number;
+    /** Longest wait for an answer to a read, in milliseconds. */
+    readonly readTimeoutMs: number;
+    /** The same for an order. */
+    readonly orderTimeoutMs: number;
     readonly signal: AbortSignal;
   }): rankEngine.RankEngine;
 }
@@ -55,6 +58,8 @@
 
 /** Longest wait for the engine on the own machine. */
 const engineTimeoutMs = 60;
+/** Orders take effect or get lost; a repetition is harmless. */
+const engineOrderTimeoutMs = 30;
 /** Time between two looks at the own engine. */
 const statusTurnMs = 100;
 /** Turns between two statuses to all ranks, for the ranks that may lead next. */
@@ -87,7 +92,8 @@
   });
   const engine = platform.createRankEngine({
     address: settings.upstream,
-    timeoutMs: engineTimeoutMs,
+    readTimeoutMs: engineTimeoutMs,
+    orderTimeoutMs: engineOrderTimeoutMs,
     signal,
   });
   const store = platform.createStore({
--- a/packages/coordination/src/maps/order_settler.ts
+++ b/packages/coordination/src/maps/order_settler.ts
@@ -64,7 +64,9 @@
       const reason = "the group has another epoch or is broken";
       return finish({ kind: "impossible", state, reason });
     }
-    if (rankOrders.isDone(order, state)) return finish({ kind: "done", state });
+    if (rankOrders.isDone(order, state)) {
+      return finish({ kind: "done", state, sendings });
+    }
     if (isCopying) return [{ kind: "read", afterMs: copyPollMs }];
     const reason = rankOrders.findObstacle(order, state);
     if (reason !== undefined) {
--- a/packages/coordination/src/maps/rank_orders.ts
+++ b/packages/coordination/src/maps/rank_orders.ts
@@ -60,7 +60,12 @@
 /** What became of an order after all of its sendings. */
 export type OrderOutcome =
   /** Its state holds, and no earlier sending of it can change the rank. */
-  | { readonly kind: "done"; readonly state: RankState }
+  | {
+    readonly kind: "done";
+    readonly state: RankState;
+    /** How often it had to be sent. */
+    readonly sendings: number;
+  }
   /** It can't take effect any more. */
   | {
     readonly kind: "impossible";
--- a/packages/coordination/src/maps/switch_round.ts
+++ b/packages/coordination/src/maps/switch_round.ts
@@ -25,8 +25,11 @@
   readonly holdRank: number;
   readonly rankCount: number;
   readonly epoch: number;
-  /** Passes between the furthest rank and the pass of the switch. */
-  readonly leadPasses: number;
+  /**
+   * Returns the passes between the present one and that of the switch, given
+   * how often an order of this round had to be sent at most.
+   */
+  readonly computeLead: (mostSendings: number) => number;
   /**
    * Highest pass that this leader may have held, also before it restarted;
    * later ones must be above it. A process that does not know takes the first
@@ -133,6 +136,7 @@
   let call = 0;
   let looks = 0;
   let holds = 0;
+  let mostSendings = 0;
   let version = 0;
   /** Version that was known to be armed before the last look began. */
   let armedBefore: number | undefined;
@@ -218,7 +222,8 @@
     const furthest = Math.max(
       ...[...states.values()].map((state) => state.step),
     );
-    step = Math.max(furthest + options.leadPasses * holds, step + 1);
+    const lead = options.computeLead(mostSendings) * holds;
+    step = Math.max(furthest + lead, step + 1);
     if (step > furthest + maxAheadPasses) return abort("Few passes begin");
     const order = { kind: "hold", step } as const;
     return orderRanks("holding", [options.holdRank], () => order);
@@ -309,6 +314,7 @@
       states.set(rank, outcome.state);
     }
     if (outcome.kind !== "done") return handleFailure(outcome.reason);
+    mostSendings = Math.max(mostSendings, outcome.sendings);
     open.delete(rank);
     return open.size === 0 ? advance() : [];
   }
--- a/packages/coordination/src/maps/switch_round_test.ts
+++ b/packages/coordination/src/maps/switch_round_test.ts
@@ -83,6 +83,7 @@
         order.kind === "arm" && outcome.kind === "unsettled"
           ? {
             kind: "done",
+            sendings: 1,
             state: {
               rank: 0,
               epoch: 1,
--- a/packages/coordination/src/testing/ordered_group.ts
+++ b/packages/coordination/src/testing/ordered_group.ts
@@ -270,7 +270,7 @@
           );
         if (variant.isSent?.(order) === false) {
           const state = readState(rank);
-          leader.tasks.push(() => answer({ kind: "done", state }));
+          leader.tasks.push(() => answer({ kind: "done", state, sendings: 1 }));
           return;
         }
         settleOrder(leader, rank, {
@@ -287,7 +287,7 @@
       holdRank: leader.rank,
       rankCount: options.rankCount,
       epoch,
-      leadPasses,
+      computeLead: () => leadPasses,
       lastHeldStep: variant.forgetsHolds ? 0 : leader.lastHeldStep,
       createVersion: variant.createVersion ?? leader.createVersion,
     });
