--- a/packages/anvilhinge/src/entry/choice/routed_policy.ts
+++ b/packages/anvilhinge/src/entry/choice/routed_policy.ts
@@ -235,17 +235,28 @@
     const arrivedAtMs = clock.now();
     let asked = 0;
     let open: Known | undefined;
-    let key = "";
+    /** Key under which the request waits for a place. */
+    let waitingKey: string | undefined;
+    /** Key under which its present attempt occupies one. */
+    let runningKey: string | undefined;
     const sentTo: string[] = [];
     let decidedBy: string | undefined;
     let waitedMs = 0;
     budget.recordRequest();
 
-    function release(): void {
+    /** Gives the place of the present attempt back. */
+    function releaseAttempt(): void {
       if (open !== undefined) open.open -= 1;
       open = undefined;
-      asking.delete(key);
-      if (engine !== undefined && key !== "") dispatch.drop(key);
+      if (runningKey !== undefined) dispatch.drop(runningKey);
+      runningKey = undefined;
+    }
+
+    function withdrawAsking(): void {
+      if (waitingKey === undefined) return;
+      asking.delete(waitingKey);
+      dispatch.drop(waitingKey);
+      waitingKey = undefined;
     }
 
     function askForPlace(tried: ReadonlySet<string>): session.Choice {
@@ -254,9 +265,9 @@
         const reason = `No upstream of service ${work.service} is left`;
         return { kind: "none", reason, retryAfterMs: noUpstreamRetryMs };
       }
-      release();
       asked += 1;
-      key = `${work.requestId}/${asked}`;
+      const key = `${work.requestId}/${asked}`;
+      waitingKey = key;
       const ejected = usable.map(({ listed }) => listed.id)
         .filter((id) => !checked.isAvailable(id));
       const nowMs = clock.now();
@@ -303,19 +314,25 @@
         open = known.get(upstream.id);
         if (open !== undefined) open.open += 1;
         checked.recordSent(upstream.id);
-        if (engine === undefined) return;
+        runningKey = waitingKey;
+        waitingKey = undefined;
+        if (runningKey === undefined) return;
         dispatch.start({
-          key,
+          key: runningKey,
           upstreamId: upstream.id,
           workspace: work.workspace,
           promptTokens: work.size?.promptTokens ?? 0,
         });
       },
       recordOutcome({ upstream, outcome }) {
-        release();
+        // The next attempt may wait already.
+        releaseAttempt();
         checked.recordOutcome(upstream.id, outcome);
       },
-      end: release,
+      end() {
+        releaseAttempt();
+        withdrawAsking();
+      },
     };
   }
 
@@ -326,7 +343,8 @@
       routes = settings.routes;
       updatePlaces();
     },
-    setUpstreams(upstreams) {
+    setUpstreams(all) {
+      const upstreams = dropSuperseded(all);
       const listedIds = new Set(upstreams.map(({ id }) => id));
       for (const id of [...known.keys()]) {
         if (!listedIds.has(id)) known.delete(id);
@@ -354,3 +372,20 @@
     handleMessage: dispatch.handle,
   };
 }
+
+/**
+ * Leaves out upstreams whose address a later one has: entries of upstreams that
+ * crashed stay in the list until they lapse.
+ */
+function dropSuperseded(
+  upstreams: readonly routing.ListedUpstream[],
+): readonly routing.ListedUpstream[] {
+  const latest = new Map<string, routing.ListedUpstream>();
+  for (const upstream of upstreams) {
+    const known = latest.get(upstream.address);
+    const isLater = known === undefined ||
+      (upstream.startedAtMs ?? 0) > (known.startedAtMs ?? 0);
+    if (isLater) latest.set(upstream.address, upstream);
+  }
+  return [...latest.values()];
+}
--- /dev/null
+++ b/packages/anvilhinge/src/entry/choice/routed_policy_test.ts
@@ -0,0 +1,218 @@
+import * as stream from "node:stream";
+import type * as routing from "../../settings/routing.ts";
+import * as logger from "../../telemetry/logger.ts";
+import * as manualScheduler from "../../testing/manual_scheduler.ts";
+import type * as session from "../session/session.ts";
+import * as routedPolicy from "./routed_policy.ts";
+
+const engine: routing.EngineSpec = {
+  slots: 1,
+  memoryTokens: 1_000,
+  stepsPerPass: 6,
+  stepMs: 5,
+  perSequenceMs: 0.5,
+  contextMsPerKilotoken: 0,
+  readTokensPerMs: 75,
+  readChunkTokens: 512,
+  usualPromptTokens: 800,
+  usualAnswerTokens: 150,
+  experts: undefined,
+};
+
+function createRoute(service: string): routing.Route {
+  return {
+    name: service,
+    host: "h",
+    pathPrefix: "/",
+    kind: "stream",
+    targets: [{ service, weight: 1 }],
+    maxUpstreams: 2,
+    timeoutMs: 8_000,
+    latencyTargetMs: 400,
+    gapTargetMs: 120,
+    priority: 1,
+    isPublic: false,
+    isResumable: true,
+  };
+}
+
+function createListed(
+  id: string,
+  options: Partial<routing.ListedUpstream> = {},
+): routing.ListedUpstream {
+  return {
+    id,
+    service: "models",
+    address: `10.0.0.1:${id.slice(1)}`,
+    failureDomain: "a",
+    slots: 1,
+    state: "serving",
+    startedAtMs: 1,
+    ...options,
+  };
+}
+
+const settings: routing.RoutingSettings = {
+  version: 1,
+  routes: [createRoute("models"), createRoute("registry")],
+  services: [
+    { name: "models", healthPath: "/", maxConnections: 10, engine },
+    {
+      name: "registry",
+      healthPath: "/",
+      maxConnections: 10,
+      engine: undefined,
+    },
+  ],
+  limits: {
+    headerBytes: 1,
+    bodyBytes: 1,
+    headerTimeoutMs: 1,
+    idleTimeoutMs: 1,
+  },
+  workspaces: [],
+};
+
+function createPolicy(upstreams: readonly routing.ListedUpstream[]) {
+  const scheduler = manualScheduler.createManualScheduler();
+  const abort = new AbortController();
+  const policy = routedPolicy.createRoutedPolicy({
+    entryId: "e1",
+    failureDomain: "a",
+    members: {
+      getHub: () => ({ id: "e1", address: "10.0.0.9:1" }),
+      isHub: () => true,
+      countEntries: () => 1,
+    },
+    retries: { share: 0.2, extra: 20, windowMs: 10_000 },
+    scheduler,
+    random: () => 0.5,
+    logger: logger.createLogger({
+      part: "entry",
+      level: "error",
+      stream: new stream.PassThrough(),
+    }),
+    sockets: { send() {} },
+    signal: abort.signal,
+  });
+  policy.setRouting(settings);
+  policy.setUpstreams(upstreams);
+
+  function start(requestId: string, service = "models") {
+    const decided: string[] = [];
+    const places = policy.startRequest({
+      requestId,
+      service,
+      route: createRoute(service),
+      workspace: "w",
+      priority: 1,
+      size: undefined,
+      deadlineAtMs: scheduler.now() + 8_000,
+    }, (event) => {
+      if (event.kind === "denied") return void decided.push("denied");
+      decided.push(event.upstream.id);
+      places.recordDispatch(event.upstream);
+    });
+    return { places, decided };
+  }
+
+  return { policy, scheduler, start };
+}
+
+function createUpstream(id: string): session.Upstream {
+  return { id, group: "", rank: 0, address: "", half: "", epoch: 0 };
+}
+
+test("the next attempt may ask before the last one is told to have ended", () => {
+  const { scheduler, start } = createPolicy([
+    createListed("u1"),
+    createListed("u2"),
+  ]);
+  const { places, decided } = start("r1");
+  places.chooseUpstream(new Set());
+  scheduler.advance(5);
+  const [first] = decided;
+  // The session asks anew while it handles the refusal, then reports it.
+  places.chooseUpstream(new Set([first!]));
+  places.recordOutcome({
+    kind: "observe",
+    upstream: createUpstream(first!),
+    outcome: "refused",
+  });
+  scheduler.advance(5);
+  expect(decided).toHaveLength(2);
+  expect(decided[1]).not.toBe(first);
+});
+
+test("a place is free again when its request ends", () => {
+  const { scheduler, start } = createPolicy([createListed("u1")]);
+  const first = start("r1");
+  first.places.chooseUpstream(new Set());
+  scheduler.advance(5);
+  const second = start("r2");
+  second.places.chooseUpstream(new Set());
+  scheduler.advance(50);
+  expect([first.decided, second.decided]).toEqual([["u1"], []]);
+  first.places.end();
+  scheduler.advance(5);
+  expect(second.decided).toEqual(["u1"]);
+});
+
+test("a request that ends while it waits leaves the queue", () => {
+  const { scheduler, start } = createPolicy([createListed("u1")]);
+  start("r1").places.chooseUpstream(new Set());
+  scheduler.advance(5);
+  const gone = start("r2");
+  gone.places.chooseUpstream(new Set());
+  gone.places.end();
+  scheduler.advance(3_000);
+  expect(gone.decided).toEqual([]);
+});
+
+test("of two upstreams with one address only the later one is used", () => {
+  const { scheduler, start } = createPolicy([
+    createListed("u1", { address: "10.0.0.1:7", startedAtMs: 5 }),
+    createListed("u2", { address: "10.0.0.1:7", startedAtMs: 9 }),
+  ]);
+  const one = start("r1");
+  const other = start("r2");
+  one.places.chooseUpstream(new Set());
+  other.places.chooseUpstream(new Set());
+  scheduler.advance(5);
+  expect([one.decided, other.decided]).toEqual([["u2"], []]);
+});
+
+test("requests of plain services go where this entry has least", () => {
+  const { start } = createPolicy([
+    createListed("u1", { service: "registry" }),
+    createListed("u2", { service: "registry" }),
+  ]);
+  const chosen = ["r1", "r2"].map((id) => {
+    const { places } = start(id, "registry");
+    const choice = places.chooseUpstream(new Set());
+    if (choice.kind !== "chosen") throw new Error(choice.kind);
+    places.recordDispatch(choice.upstream);
+    return choice.upstream.id;
+  });
+  expect([...chosen].sort()).toEqual(["u1", "u2"]);
+});
+
+test("an upstream that leaves gets nothing new", () => {
+  const { policy, start } = createPolicy([
+    createListed("u1", { service: "registry" }),
+  ]);
+  policy.setUpstreams([
+    createListed("u1", { service: "registry", state: "leaving" }),
+  ]);
+  const { places } = start("r1", "registry");
+  expect(places.chooseUpstream(new Set()).kind).toBe("none");
+});
+
+test("retries are bounded by this entry's part of the budget", () => {
+  const { start } = createPolicy([createListed("u1")]);
+  const { places } = start("r1");
+  let taken = 0;
+  while (places.takeRetry()) taken += 1;
+  expect(taken).toBeGreaterThan(0);
+  expect(taken).toBeLessThanOrEqual(10);
+});
--- a/packages/coordination/src/dispatch/work_hub.ts
+++ b/packages/coordination/src/dispatch/work_hub.ts
@@ -162,14 +162,6 @@
     return place.slots - (taken.get(place.id)?.requests ?? 0);
   }
 
-  function countFreeOfPool(pool: Pool): number {
-    const free = pool.places.reduce(
-      (sum, place) => sum + Math.max(0, countFree(place)),
-      0,
-    );
-    return Math.min(free, computeLimit(pool) - countTakenOfPool(pool));
-  }
-
   function countSlots(pool: Pool): number {
     return pool.places.reduce((sum, { slots }) => sum + slots, 0);
   }
@@ -302,10 +294,12 @@
     }
   }
 
-  /** Refuses what would wait too long by the rate at which places get free. */
+  /**
+   * Refuses what would wait too long by the rate at which places get free. What
+   * still waits found no place: all are taken, or it must avoid the free ones.
+   */
   function refuseLate(poolName: string, pool: Pool): void {
     const queue = listWaiting(poolName);
-    if (queue.length === 0 || countFreeOfPool(pool) > 0) return;
     const nowMs = clock.now();
     queue.forEach((waiting, index) => {
       const predictedMs = pool.freedPerSecond === 0
--- a/packages/coordination/src/testing/dispatch_world.ts
+++ b/packages/coordination/src/testing/dispatch_world.ts
@@ -24,7 +24,7 @@
 }
 
 export interface WorldResult {
-  /** Requests that began within their aim, of all that arrived. */
+  /** Requests that began within their aim, of all that addCallerd. */
   readonly inAim: number;
   readonly late: number;
   /** Requests that were given up without an answer. */
@@ -207,11 +207,11 @@
     report(caller.entry);
   }
 
-  function arrive(): void {
+  function addCaller(): void {
     const capacity = options.rankCount * options.slots / options.serviceMs;
     const rate = capacity * options.load(manual.now());
     if (manual.now() < options.durationMs) {
-      schedule(-Math.log(1 - draw()) / rate, arrive);
+      schedule(-Math.log(1 - draw()) / rate, addCaller);
     }
     result.asked += 1;
     ask({
@@ -223,7 +223,7 @@
     });
   }
 
-  schedule(0, arrive);
+  schedule(0, addCaller);
   while (events.length > 0) {
     let next = 0;
     events.forEach(({ atMs }, index) => {
