--- a/packages/anvilhinge/src/adapters/direct_client.ts
+++ b/packages/anvilhinge/src/adapters/direct_client.ts
@@ -86,9 +86,12 @@
   }
 
   function handleResponse(response: http.IncomingMessage): void {
-    const head = {
+    const isFramed = response.headers["content-length"] !== undefined ||
+      response.headers["transfer-encoding"] !== undefined;
+    const head: engine.AnswerHead = {
       status: response.statusCode ?? 0,
       headers: httpHeaders.listEndToEnd(response.rawHeaders),
+      isUnframed: isFramed ? undefined : true,
     };
     const meaning = dialect.interpretHead(head, attempt);
     response.on("error", (error) => breakOff(error.message));
--- a/packages/anvilhinge/src/entry/callers/routed_answer.ts
+++ b/packages/anvilhinge/src/entry/callers/routed_answer.ts
@@ -104,6 +104,11 @@
   function open(extra: readonly string[] = []): void {
     if (isOpen || head === undefined) return;
     isOpen = true;
+    if (head.isUnframed) {
+      // A length of ours would say that the body is whole.
+      response.useChunkedEncodingByDefault = false;
+      response.shouldKeepAlive = false;
+    }
     response.writeHead(head.status, [...head.headers.flat(), ...extra]);
   }
 
@@ -133,7 +138,7 @@
       const body = Buffer.concat(held);
       held = [];
       const isBodyless = head?.status === 204 || head?.status === 304;
-      const extra = isOpen || hasLength() || isBodyless
+      const extra = isOpen || hasLength() || isBodyless || head?.isUnframed
         ? []
         : ["Content-Length", String(body.byteLength)];
       open(extra);
--- /dev/null
+++ b/packages/anvilhinge/src/entry/callers/routed_answer_test.ts
@@ -0,0 +1,93 @@
+import * as http from "node:http";
+import * as net from "node:net";
+import * as manualScheduler from "../../testing/manual_scheduler.ts";
+import * as routedAnswer from "./routed_answer.ts";
+
+const source = {
+  upstream: {
+    id: "u1",
+    group: "g",
+    rank: 0,
+    address: "",
+    half: "",
+    epoch: 0,
+  },
+  attemptId: "a1",
+};
+
+/** Lets `write` answer one request; resolves to the bytes that went out. */
+async function writeAnswer(
+  write: (answer: routedAnswer.RoutedAnswer) => void,
+  { isWhole = true } = {},
+): Promise<string> {
+  const server = http.createServer((_request, response) =>
+    write(routedAnswer.createRoutedAnswer(response, {
+      isWhole,
+      clock: manualScheduler.createManualScheduler(),
+      onPause: () => {},
+    }))
+  );
+  await new Promise<void>((resolve) =>
+    server.listen(0, "127.0.0.1", () => resolve())
+  );
+  const { port } = server.address() as net.AddressInfo;
+  const text = await new Promise<string>((resolve) => {
+    let received = "";
+    const socket = net.connect(port, "127.0.0.1");
+    socket.on("data", (data) => (received += data.toString()));
+    socket.on("error", () => {});
+    socket.on("close", () => resolve(received));
+    socket.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    setTimeout(() => socket.end(), 60);
+  });
+  server.closeAllConnections();
+  await new Promise((resolve) => server.close(resolve));
+  return text;
+}
+
+test("a whole answer without a length gets one", async () => {
+  const text = await writeAnswer((answer) => {
+    answer.head({ status: 200, headers: [["X-A", "1"]] }, source);
+    answer.data(Buffer.from("body"), 1);
+    answer.end();
+  });
+  expect(text).toMatch(/^HTTP\/1\.1 200 OK\r\nX-A: 1\r\nContent-Length: 4\r\n/);
+  expect(text.endsWith("\r\n\r\nbody")).toBe(true);
+});
+
+test("an answer of unknown length is not called whole", async () => {
+  const text = await writeAnswer((answer) => {
+    answer.head({ status: 200, headers: [], isUnframed: true }, source);
+    answer.data(Buffer.from("part"), 1);
+    answer.end();
+  });
+  expect(text).not.toMatch(/content-length|transfer-encoding/i);
+  expect(text).toMatch(/\r\nConnection: close\r\n/);
+  expect(text.endsWith("\r\n\r\npart")).toBe(true);
+});
+
+test("a stream that fails midway does not look complete", async () => {
+  const text = await writeAnswer((answer) => {
+    answer.head({ status: 200, headers: [] }, source);
+    answer.data(Buffer.from("id: 1\n\n"), 1);
+    setTimeout(
+      () => answer.answer({ kind: "failed", message: "broke", ran: "yes" }),
+      10,
+    );
+  }, { isWhole: false });
+  expect(text).toContain("id: 1");
+  expect(text).not.toMatch(/\r\n0\r\n\r\n$/);
+});
+
+test.each(
+  [
+    [{ kind: "not_run", reason: "full", retryAfterMs: 70 }, 503, "0.070"],
+    [{ kind: "failed", message: "m", ran: "yes" }, 502, undefined],
+    [{ kind: "unknown", message: "m", retryAfterMs: 0 }, 502, undefined],
+    [{ kind: "deadline_exceeded", message: "m", ran: "yes" }, 504, undefined],
+  ] as const,
+)("the last word %j is status %i", async (final, status, retryAfter) => {
+  const text = await writeAnswer((answer) => answer.answer(final));
+  expect(text.startsWith(`HTTP/1.1 ${status} `)).toBe(true);
+  expect(/Retry-After: (.*)\r\n/.exec(text)?.[1]).toBe(retryAfter);
+});
--- a/packages/anvilhinge/src/ports/engine.ts
+++ b/packages/anvilhinge/src/ports/engine.ts
@@ -7,6 +7,11 @@
 export interface AnswerHead {
   readonly status: number;
   readonly headers: readonly (readonly [name: string, value: string])[];
+  /**
+   * True when only the end of the connection ends the body: nobody can tell
+   * whether it is whole.
+   */
+  readonly isUnframed?: boolean;
 }
 
 export type EngineEvent =
