--- a/packages/anvilhinge/src/agent/routed_agent.ts
+++ b/packages/anvilhinge/src/agent/routed_agent.ts
@@ -137,9 +137,9 @@
   async function readStore(): Promise<boolean> {
     const [routingList, upstreams] = await Promise.all([
       spec === undefined
-        ? store.list(platform.source.routingPrefix)
+        ? store.list(platform.source.routingPrefix, { allowsStale: true })
         : undefined,
-      store.list(platform.source.upstreamsPrefix),
+      store.list(platform.source.upstreamsPrefix, { allowsStale: true }),
     ]);
     const found = routingList?.kind === "listed"
       ? routingList.objects.flatMap((object) =>
@@ -173,7 +173,10 @@
     const message: StatusMessage = { kind: "status", status };
     const interval = peers.isCandidate() ? candidateTurns : helloTurns;
     if (turns % interval !== 0) return;
-    for (const address of addresses) sockets.send(message, address);
+    const heard = peers.listLive().map(({ address }) => address);
+    for (const address of new Set([...addresses, ...heard])) {
+      sockets.send(message, address);
+    }
   }
 
   function isEpochNew(epoch: number): boolean {
--- a/packages/anvilhinge/src/entry/control/roster_node.ts
+++ b/packages/anvilhinge/src/entry/control/roster_node.ts
@@ -1,8 +1,10 @@
 /** Runs the entry's roster: sends its messages and feeds what arrives. */
+import type * as clock from "@anvilhinge/coordination/clock";
 import * as roster from "@anvilhinge/coordination/roster";
 import type * as datagrams from "../../adapters/datagrams.ts";
 import type * as scheduler from "../../ports/scheduler.ts";
 import type * as logger from "../../telemetry/logger.ts";
+import type * as routingView from "../routing/routing_view.ts";
 
 /** What an entry tells the others of itself. */
 export interface EntryDetails {
@@ -15,12 +17,22 @@
 }
 
 export type EntryMember = roster.MemberInfo<EntryDetails>;
-export type RosterMessage = roster.RosterMessage<EntryDetails>;
+export type RosterMessage = roster.RosterMessage<
+  EntryDetails,
+  routingView.ViewNews
+>;
+type Sends = readonly roster.RosterSend<EntryDetails, routingView.ViewNews>[];
 
 export interface RosterNodeOptions {
   readonly self: Omit<EntryMember, "revision">;
   readonly seeds: readonly string[];
   readonly scheduler: scheduler.Scheduler;
+  /** Counts time in which the machine was suspended too. */
+  readonly elapsed: clock.Clock;
+  readonly readNews: () => routingView.ViewNews;
+  readonly onNews: (
+    received: roster.ReceivedNews<routingView.ViewNews>,
+  ) => void;
   readonly sockets: datagrams.Datagrams;
   readonly logger: logger.Logger;
   readonly signal: AbortSignal;
@@ -37,8 +49,10 @@
 /** Starts the roster; it sends from its first tick on. */
 export function startRosterNode(options: RosterNodeOptions): RosterNode {
   const { scheduler, signal, logger } = options;
-  const core = roster.createRoster<EntryDetails>({
-    clock: scheduler,
+  const core = roster.createRoster<EntryDetails, routingView.ViewNews>({
+    clock: options.elapsed,
+    readNews: options.readNews,
+    onNews: options.onNews,
     self: options.self,
     seeds: options.seeds,
   });
@@ -46,7 +60,7 @@
   let shownHub: string | undefined;
   let shownLive = "";
 
-  function send(sends: readonly roster.RosterSend<EntryDetails>[]): void {
+  function send(sends: Sends): void {
     for (const { to, message } of sends) options.sockets.send(message, to);
   }
 
--- a/packages/anvilhinge/src/entry/control/store_follower.ts
+++ b/packages/anvilhinge/src/entry/control/store_follower.ts
@@ -40,6 +40,12 @@
 }
 
 export interface FollowOptions extends ListOptions {
+  /** Returns the longest time to the next confirmation, in milliseconds. */
+  readonly getConfirmMs?: () => number | undefined;
+  /** Time for which events are collected, in milliseconds. */
+  readonly collectMs?: number;
+  /** Version from which to watch without a list. Default: lists first. */
+  readonly startVersion?: number;
   /** Called for each change after a list; changes may repeat. */
   readonly onObject: (object: objectStore.StoredObject) => void;
   readonly onRemoved?: (key: string, version: number) => void;
@@ -112,6 +118,8 @@
     options.store.watch(options.prefix, {
       sinceVersion,
       signal,
+      getConfirmMs: options.getConfirmMs,
+      collectMs: options.collectMs,
       onEvent(event) {
         if (event.kind !== "closed") failures = 0;
         switch (event.kind) {
@@ -128,5 +136,6 @@
     });
   }
 
-  listAndWatch();
+  if (options.startVersion === undefined) listAndWatch();
+  else startWatch(options.startVersion);
 }
--- a/packages/anvilhinge/src/entry/routed_entry.ts
+++ b/packages/anvilhinge/src/entry/routed_entry.ts
@@ -8,6 +8,7 @@
 import * as hostPort from "../adapters/address.ts";
 import * as datagrams from "../adapters/datagrams.ts";
 import * as directClient from "../adapters/direct_client.ts";
+import * as elapsedClock from "../adapters/elapsed_clock.ts";
 import * as systemScheduler from "../adapters/system_scheduler.ts";
 import type * as callerDialect from "../ports/caller_dialect.ts";
 import type * as objectStore from "../ports/object_store.ts";
@@ -99,6 +100,10 @@
 ): Promise<void> {
   const abort = new AbortController();
   const clock = systemScheduler.createSystemScheduler();
+  const elapsed = elapsedClock.createElapsedClock({
+    clock,
+    readWallMs: Date.now,
+  });
   const randomSource = random.createRandomSource(
     nodeCrypto.randomInt(2 ** 31),
   );
@@ -140,6 +145,9 @@
       `${hostPort.parseAddress(address).host}:${peersPort}`
     ),
     scheduler: clock,
+    elapsed,
+    readNews: () => view.readNews(),
+    onNews: ({ news, trueAfterMs }) => view.receiveNews(news, trueAfterMs),
     sockets,
     logger: log,
     signal: abort.signal,
@@ -173,9 +181,11 @@
       signal: abort.signal,
     }),
     scheduler: clock,
+    elapsed,
     random: randomSource,
     logger: log,
     signal: abort.signal,
+    isHub: roster.isHub,
     onRouting({ settings: inForce }) {
       const { limits } = inForce;
       policy.setRouting(inForce);
--- a/packages/anvilhinge/src/entry/routing/routing_view.ts
+++ b/packages/anvilhinge/src/entry/routing/routing_view.ts
@@ -2,13 +2,18 @@
  * The entry's view of routing settings and upstreams, as the platform's store
  * has them. A view never goes back to a lower version; it carries the instant
  * at which the store last confirmed it.
+ *
+ * Each entry follows the store itself, for its changes. Confirming costs calls,
+ * so only the hub asks for it often and passes on what it was told; an entry
+ * that hears nothing for a while asks itself.
  */
+import type * as clock from "@anvilhinge/coordination/clock";
 import type * as random from "@anvilhinge/coordination/random";
 import type * as objectStore from "../../ports/object_store.ts";
 import type * as scheduler from "../../ports/scheduler.ts";
 import type * as routing from "../../settings/routing.ts";
 import type * as logger from "../../telemetry/logger.ts";
-import * as storeFollower from "../control/store_follower.ts";
+import * as followedPrefix from "./followed_prefix.ts";
 import * as routeTable from "./route_table.ts";
 
 /** Where the settings and upstreams lie in the store, and how they are read. */
@@ -25,13 +30,23 @@
   ): routing.ListedUpstream | undefined;
 }
 
+/** What the hub tells of its view. */
+export interface ViewNews {
+  readonly routing: followedPrefix.PrefixNews;
+  readonly upstreams: followedPrefix.PrefixNews;
+}
+
 export interface RoutingViewOptions {
   readonly source: RoutingSource;
   readonly store: objectStore.ObjectStore;
   readonly scheduler: scheduler.Scheduler;
+  /** Counts time in which the machine was suspended too. */
+  readonly elapsed: clock.Clock;
   readonly random: random.RandomSource;
   readonly logger: logger.Logger;
   readonly signal: AbortSignal;
+  /** Whether this entry confirms the view for the others. */
+  readonly isHub: () => boolean;
   readonly onRouting: (table: routeTable.RouteTable) => void;
   /** Called with all upstreams when any of them changed. */
   readonly onUpstreams: (
@@ -45,11 +60,11 @@
   getTable(): routeTable.RouteTable | undefined;
   /** Time since the store last confirmed the routing settings. */
   getAgeMs(): number;
+  readNews(): ViewNews;
+  /** Takes news of the hub that were true after an instant of `elapsed`. */
+  receiveNews(news: ViewNews, trueAfterMs: number): void;
 }
 
-/** Mean first wait after a failed call; doubles to a second. */
-const retryDelayMs = 150;
-const retryDoublings = 3;
 /**
  * Upstreams whose entries lapsed while the store was away write them again
  * within two seconds of its return (the platform's page on discovery).
@@ -63,7 +78,6 @@
   const lapsed = new Set<string>();
   let table: routeTable.RouteTable | undefined;
   let routingVersion = 0;
-  let confirmedAtMs = -Infinity;
   let hasUpstreams = false;
   let isAway = false;
   let returnedAtMs = -Infinity;
@@ -175,34 +189,21 @@
   }
 
   const shared = {
-    store: options.store,
-    scheduler,
-    random: options.random,
-    signal,
-    retryDelayMs,
-    maxDoublings: retryDoublings,
-    onUnavailable: noteAway,
+    ...options,
+    onAway: noteAway,
+    onBack: noteBack,
   };
-  storeFollower.followPrefix({
+  const followedRouting = followedPrefix.startFollowing({
     ...shared,
     prefix: source.routingPrefix,
-    onList(objects) {
-      noteBack();
-      for (const object of objects) applyRouting(object);
-    },
+    onList: (objects) => objects.forEach(applyRouting),
     onObject: applyRouting,
-    onConfirmed(asOfMs) {
-      noteBack();
-      confirmedAtMs = Math.max(confirmedAtMs, asOfMs);
-    },
+    onRemoved: () => {},
   });
-  storeFollower.followPrefix({
+  const followedUpstreams = followedPrefix.startFollowing({
     ...shared,
     prefix: source.upstreamsPrefix,
-    onList(objects) {
-      noteBack();
-      listUpstreams(objects);
-    },
+    onList: listUpstreams,
     onObject(object) {
       if (applyUpstream(object)) publishUpstreams();
     },
@@ -213,6 +214,14 @@
 
   return {
     getTable: () => table,
-    getAgeMs: () => scheduler.now() - confirmedAtMs,
+    getAgeMs: followedRouting.getAgeMs,
+    readNews: () => ({
+      routing: followedRouting.readNews(),
+      upstreams: followedUpstreams.readNews(),
+    }),
+    receiveNews(news, trueAfterMs) {
+      followedRouting.receiveNews(news.routing, trueAfterMs);
+      followedUpstreams.receiveNews(news.upstreams, trueAfterMs);
+    },
   };
 }
--- a/packages/anvilhinge/src/ports/object_store.ts
+++ b/packages/anvilhinge/src/ports/object_store.ts
@@ -42,12 +42,31 @@
   readonly sinceVersion: number;
   /** Ends the watch; no `closed` event is delivered then. */
   readonly signal: AbortSignal;
+  /**
+   * Returns the longest time to the next confirmation, in milliseconds, where
+   * the store confirms; each costs a call. Default: the store's own.
+   */
+  readonly getConfirmMs?: () => number | undefined;
+  /**
+   * Time after an event for which further ones are collected, in milliseconds,
+   * where each answer costs a call.
+   * @default 0
+   */
+  readonly collectMs?: number;
   readonly onEvent: (event: WatchEvent) => void;
 }
 
+export interface ListOptions {
+  /**
+   * True when the list may be seconds old, which some stores give for less.
+   * @default false
+   */
+  readonly allowsStale?: boolean;
+}
+
 /** Client of the object API. No method throws for a fault of the store. */
 export interface ObjectStore extends versionedStore.VersionedStore {
-  list(prefix: string): Promise<ListOutcome>;
+  list(prefix: string, options?: ListOptions): Promise<ListOutcome>;
   remove(key: string, condition: WriteCondition): Promise<WriteOutcome>;
   watch(prefix: string, options: WatchOptions): void;
 }
--- a/packages/coordination/src/roster.ts
+++ b/packages/coordination/src/roster.ts
@@ -5,7 +5,12 @@
  * grow with the number of members, not with its square. Nothing must be agreed:
  * two hubs for a while only cost messages, and the younger one yields as soon as
  * it hears of the older. Deterministic: messages and ticks in, messages out.
+ *
+ * The hub also spreads news, such as how old its view is. A message may have
+ * waited anywhere, so it echoes the token of the member's last hello: what the
+ * hub said was true after that hello was sent.
  */
+import murmurhash from "murmurhash";
 import type * as clock from "./clock.ts";
 
 /** What a member says of itself. */
@@ -20,14 +25,25 @@
   readonly details: Details;
 }
 
-export type RosterMessage<Details> =
+export type RosterMessage<Details, News = undefined> =
   /** A member tells of itself. */
-  | { readonly kind: "hello"; readonly from: MemberInfo<Details> }
-  /** The members that the sender believes to be alive, itself included. */
+  | {
+    readonly kind: "hello";
+    readonly from: MemberInfo<Details>;
+    /** Hash of the members that it knows. */
+    readonly hash: number;
+    /** Returned by the hub with its news. */
+    readonly token: number;
+  }
+  /** The members that the sender believes to be alive, besides itself. */
   | {
     readonly kind: "roster";
     readonly from: MemberInfo<Details>;
-    readonly members: readonly RelayedMember<Details>[];
+    /** Undefined when they are those of the receiver's last hello. */
+    readonly members?: readonly RelayedMember<Details>[];
+    /** Token of the receiver's last hello; undefined without one. */
+    readonly echo?: number;
+    readonly news?: News;
   };
 
 /** A member as another one heard of it. */
@@ -37,12 +53,19 @@
   readonly heardAgoMs: number;
 }
 
-export interface RosterSend<Details> {
+export interface RosterSend<Details, News = undefined> {
   readonly to: string;
-  readonly message: RosterMessage<Details>;
+  readonly message: RosterMessage<Details, News>;
 }
 
-export interface RosterOptions<Details> {
+/** News of the hub. */
+export interface ReceivedNews<News> {
+  readonly news: News;
+  /** Instant of the own clock after which the news were true. */
+  readonly trueAfterMs: number;
+}
+
+export interface RosterOptions<Details, News = undefined> {
   readonly clock: clock.Clock;
   readonly self: Omit<MemberInfo<Details>, "revision">;
   /** Addresses to begin with; the own one may be among them. */
@@ -52,16 +75,20 @@
    * @default 800
    */
   readonly silenceMs?: number;
+  /** Returns what the hub tells all members. */
+  readonly readNews?: () => News;
+  /** Called with news of the hub. */
+  readonly onNews?: (received: ReceivedNews<News>) => void;
 }
 
-export interface Roster<Details> {
+export interface Roster<Details, News = undefined> {
   /** Returns what must be sent now; to be called every `tickMs`. */
-  tick(): readonly RosterSend<Details>[];
+  tick(): readonly RosterSend<Details, News>[];
   handle(
-    message: RosterMessage<Details>,
-  ): readonly RosterSend<Details>[];
+    message: RosterMessage<Details, News>,
+  ): readonly RosterSend<Details, News>[];
   /** Changes what this member says of itself; returns what must be sent now. */
-  setDetails(details: Details): readonly RosterSend<Details>[];
+  setDetails(details: Details): readonly RosterSend<Details, News>[];
   /** Adds addresses at which members may be. */
   addSeeds(addresses: readonly string[]): void;
   /** Members that are believed to be alive, this one included. */
@@ -75,12 +102,17 @@
 export const tickMs = 200;
 
 const defaultSilenceMs = 800;
+/** Hellos whose instants are remembered. */
+const rememberedTokens = 64;
 /** Ticks between two hellos to a seed, which may lead to an older hub. */
 const seedTicks = 5;
 
 interface Known<Details> {
   readonly info: MemberInfo<Details>;
   readonly heardAtMs: number;
+  /** Of its last hello; undefined while it sent none. */
+  readonly hash?: number;
+  readonly token?: number;
 }
 
 function compareAge<Details>(
@@ -99,14 +131,19 @@
 }
 
 /** Creates the roster of a member that knows nobody. */
-export function createRoster<Details>(
-  options: RosterOptions<Details>,
-): Roster<Details> {
+export function createRoster<Details, News = undefined>(
+  options: RosterOptions<Details, News>,
+): Roster<Details, News> {
+  type Message = RosterMessage<Details, News>;
+  type Sends = readonly RosterSend<Details, News>[];
   const { clock } = options;
   const silenceMs = options.silenceMs ?? defaultSilenceMs;
   const known = new Map<string, Known<Details>>();
   const seeds = new Set(options.seeds);
   let self: MemberInfo<Details> = { ...options.self, revision: 1 };
+  /** When the hellos with the latest tokens were sent. */
+  const sentAtMs = new Map<number, number>();
+  let token = 0;
   let ticks = 0;
   let nextSeed = 0;
 
@@ -123,7 +160,11 @@
     return listLive()[0] ?? self;
   }
 
-  function record(info: MemberInfo<Details>, heardAgoMs: number): void {
+  function record(
+    info: MemberInfo<Details>,
+    heardAgoMs: number,
+    hello: Pick<Known<Details>, "hash" | "token"> = {},
+  ): void {
     if (info.id === self.id) return;
     const heardAtMs = clock.now() - heardAgoMs;
     const before = known.get(info.id);
@@ -132,31 +173,52 @@
     const isSame = before !== undefined &&
       compareNews(before.info, info) === 0;
     known.set(info.id, {
+      ...(before?.info.incarnation === info.incarnation ? before : {}),
+      ...hello,
       info,
       heardAtMs: isSame ? Math.max(before.heardAtMs, heardAtMs) : heardAtMs,
     });
   }
 
-  function createHello(): RosterMessage<Details> {
-    return { kind: "hello", from: self };
+  /** Hashes the members that are listed, however long ago they were heard. */
+  function computeHash(): number {
+    const names = listLive().map(({ id, incarnation, revision }) =>
+      `${id}/${incarnation}/${revision}`
+    )
+      .sort();
+    return murmurhash.v3(names.join(" "));
+  }
+
+  function createHello(): Message {
+    token += 1;
+    sentAtMs.set(token, clock.now());
+    sentAtMs.delete(token - rememberedTokens);
+    return { kind: "hello", from: self, hash: computeHash(), token };
   }
 
-  function createRosterMessage(): RosterMessage<Details> {
+  function createRosterMessage(receiver: Known<Details> | undefined): Message {
     const nowMs = clock.now();
-    const members = listKnown().map(({ info, heardAtMs }) => ({
-      info,
-      heardAgoMs: Math.ceil(nowMs - heardAtMs),
-    }));
-    return { kind: "roster", from: self, members };
+    const isKnown = receiver?.hash === computeHash();
+    return {
+      kind: "roster",
+      from: self,
+      echo: receiver?.token,
+      news: options.readNews?.(),
+      members: isKnown ? undefined : listKnown().map(({ info, heardAtMs }) => ({
+        info,
+        heardAgoMs: Math.ceil(nowMs - heardAtMs),
+      })),
+    };
   }
 
-  function sendRoster(): readonly RosterSend<Details>[] {
-    const message = createRosterMessage();
-    return listLive().filter(({ id }) => id !== self.id)
-      .map(({ address }) => ({ to: address, message }));
+  function sendRoster(): Sends {
+    return listKnown().map((member) => ({
+      to: member.info.address,
+      message: createRosterMessage(member),
+    }));
   }
 
-  function sendToSeeds(): readonly RosterSend<Details>[] {
+  function sendToSeeds(): Sends {
     const others = [...seeds].filter((address) => address !== self.address);
     const isAlone = listLive().length === 1;
     if (isAlone) {
@@ -168,7 +230,7 @@
   }
 
   /** Tells those that must know of this member as it is now. */
-  function publish(): readonly RosterSend<Details>[] {
+  function publish(): Sends {
     const hub = getHub();
     return hub.id === self.id
       ? sendRoster()
@@ -176,25 +238,44 @@
   }
 
   function handleHello(
-    from: MemberInfo<Details>,
-  ): readonly RosterSend<Details>[] {
+    { from, hash, token: echoed }: Extract<Message, { readonly kind: "hello" }>,
+  ): Sends {
     const before = known.get(from.id)?.info;
     const isNews = before === undefined || compareNews(before, from) < 0;
-    record(from, 0);
+    record(from, 0, { hash, token: echoed });
     if (getHub().id === self.id) return isNews ? sendRoster() : [];
     // Whoever greets a member that is not the hub learns who is.
-    return [{ to: from.address, message: createRosterMessage() }];
+    const message = createRosterMessage(known.get(from.id));
+    return [{ to: from.address, message }];
+  }
+
+  /** Takes the sender's word that the members are those that are known here. */
+  function refreshKnown(): void {
+    const heardAtMs = clock.now() - silenceMs / 2;
+    for (const [id, member] of known) {
+      if (clock.now() - member.heardAtMs > silenceMs) continue;
+      const latestMs = Math.max(member.heardAtMs, heardAtMs);
+      known.set(id, { ...member, heardAtMs: latestMs });
+    }
   }
 
   function handleRoster(
-    message: Extract<RosterMessage<Details>, { readonly kind: "roster" }>,
-  ): readonly RosterSend<Details>[] {
+    message: Extract<Message, { readonly kind: "roster" }>,
+  ): Sends {
     const hubBefore = getHub().id;
     record(message.from, 0);
-    for (const { info, heardAgoMs } of message.members) {
+    if (message.members === undefined) refreshKnown();
+    for (const { info, heardAgoMs } of message.members ?? []) {
       record(info, heardAgoMs);
     }
     const hub = getHub();
+    const helloAtMs = sentAtMs.get(message.echo ?? 0);
+    if (
+      hub.id === message.from.id && helloAtMs !== undefined &&
+      message.news !== undefined
+    ) {
+      options.onNews?.({ news: message.news, trueAfterMs: helloAtMs });
+    }
     if (hub.id === hubBefore || hub.id === self.id) return [];
     return [{ to: hub.address, message: createHello() }];
   }
@@ -205,9 +286,7 @@
       return [...publish(), ...sendToSeeds()];
     },
     handle: (message) =>
-      message.kind === "hello"
-        ? handleHello(message.from)
-        : handleRoster(message),
+      message.kind === "hello" ? handleHello(message) : handleRoster(message),
     setDetails(details) {
       self = { ...self, details, revision: self.revision + 1 };
       return publish();
