--- a/packages/anvilhinge/src/agent/ranks/map_duty.ts
+++ b/packages/anvilhinge/src/agent/ranks/map_duty.ts
@@ -67,10 +67,10 @@
  * Skew above which a switch repays its copies, for an idle and for a full rank:
  * a pass of few requests is short whatever the skew. 1.3 is the users' target.
  */
-const idleSkew = 1.6;
+const idleSkew = 2.2;
 const busySkew = 1.3;
-/** Skew that is good enough not to copy more for it. */
-const enoughSkew = 1.3;
+/** A plan is good enough this much below the skew that asks for one. */
+const enoughBelow = 0.2;
 /** Least part of the excess over the mean that a switch must take away. */
 const minExcessSaved = 0.4;
 /** Samples that must agree before a map is planned for them. */
@@ -224,12 +224,13 @@
 
   async function switchMap(
     own: rankPeers.RankStatus,
-    { map, popularity }: {
+    { map, popularity, allowedSkew }: {
       readonly map: GroupMap;
       readonly popularity: countsWindow.Popularity;
+      readonly allowedSkew: number;
     },
   ): Promise<void> {
-    const plan = planCheapest(map, popularity);
+    const plan = planCheapest(map, popularity, allowedSkew - enoughBelow);
     const { skewBefore, skewAfter, copies } = plan;
     const saved = (skewBefore - skewAfter) / Math.max(1e-9, skewBefore - 1);
     if (copies === 0 || saved < minExcessSaved) {
@@ -265,6 +266,7 @@
   function planCheapest(
     map: GroupMap,
     { shares }: countsWindow.Popularity,
+    enoughSkew: number,
   ): boundedPlanner.BoundedPlan {
     for (let copies = 1;; copies += 1) {
       const plan = boundedPlanner.planBounded({
@@ -281,17 +283,14 @@
   }
 
   /** Skew of the map in force under the present demand, as a mean of layers. */
-  function isWorthwhile(
+  function computeMeanSkew(
     map: GroupMap,
     { shares }: countsWindow.Popularity,
-    occupancy: number,
-  ): boolean {
+  ): number {
     const skews = map.layers.map((ranks, layer) =>
       computeLayerSkew(ranks, shares[layer] ?? [])
     );
-    const mean = skews.reduce((sum, skew) => sum + skew, 0) / skews.length;
-    const busyness = Math.min(1, Math.max(0, occupancy));
-    return mean > idleSkew + busyness * (busySkew - idleSkew);
+    return skews.reduce((sum, skew) => sum + skew, 0) / skews.length;
   }
 
   /**
@@ -352,8 +351,9 @@
       if (held !== undefined) return clearHold(own, held, map.layers);
       if (popularity === undefined) return;
       const occupancy = computeOccupancy(collected, options.slots);
-      if (!isWorthwhile(map, popularity, occupancy)) return;
-      return switchMap(own, { map, popularity });
+      const allowedSkew = idleSkew + occupancy * (busySkew - idleSkew);
+      if (computeMeanSkew(map, popularity) <= allowedSkew) return;
+      return switchMap(own, { map, popularity, allowedSkew });
     },
     rest() {
       window.reset();
@@ -386,7 +386,7 @@
     (sum, { report }) => sum + report.running,
     0,
   );
-  return running / Math.max(1, slots * collected.length);
+  return Math.min(1, running / Math.max(1, slots * collected.length));
 }
 
 function computeLayerSkew(
--- a/packages/coordination/src/roster.ts
+++ b/packages/coordination/src/roster.ts
@@ -250,7 +250,7 @@
   }
 
   /** Takes the sender's word that the members are those that are known here. */
-  function refreshKnown(): void {
+  function renewKnown(): void {
     const heardAtMs = clock.now() - silenceMs / 2;
     for (const [id, member] of known) {
       if (clock.now() - member.heardAtMs > silenceMs) continue;
@@ -264,7 +264,7 @@
   ): Sends {
     const hubBefore = getHub().id;
     record(message.from, 0);
-    if (message.members === undefined) refreshKnown();
+    if (message.members === undefined) renewKnown();
     for (const { info, heardAgoMs } of message.members ?? []) {
       record(info, heardAgoMs);
     }
