--- a/packages/anvilhinge/src/agent/routed_agent.ts
+++ b/packages/anvilhinge/src/agent/routed_agent.ts
@@ -12,7 +12,7 @@
 import type * as rankEngine from "../ports/rank_engine.ts";
 import type * as scheduler from "../ports/scheduler.ts";
 import type * as routedProcess from "../settings/routed_process.ts";
-import * as logger from "../telemetry/logger.ts";
+import * as routedLogger from "../telemetry/routed_logger.ts";
 import type * as routingView from "../entry/routing/routing_view.ts";
 import * as mapDuty from "./ranks/map_duty.ts";
 import * as rankCalls from "./ranks/rank_calls.ts";
@@ -86,9 +86,10 @@
   const abort = new AbortController();
   const { signal } = abort;
   const clock = systemScheduler.createSystemScheduler();
-  const log = logger.createLogger({
+  const log = routedLogger.createRoutedLogger({
     part: "agent",
     level: settings.log.level,
+    clock,
   });
   const engine = platform.createRankEngine({
     address: settings.upstream,
--- a/packages/anvilhinge/src/entry/callers/routed_http.ts
+++ b/packages/anvilhinge/src/entry/callers/routed_http.ts
@@ -8,6 +8,7 @@
 import type * as scheduler from "../../ports/scheduler.ts";
 import type * as routing from "../../settings/routing.ts";
 import type * as logger from "../../telemetry/logger.ts";
+import type * as routedMetrics from "../operators/routed_metrics.ts";
 import type * as routedPolicy from "../choice/routed_policy.ts";
 import * as routeTable from "../routing/route_table.ts";
 import type * as routingView from "../routing/routing_view.ts";
@@ -33,6 +34,10 @@
   readonly scheduler: scheduler.Scheduler;
   readonly random: random.RandomSource;
   readonly logger: logger.Logger;
+  readonly metrics: Pick<
+    routedMetrics.RoutedMetrics,
+    "recordRequest" | "recordRefusal"
+  >;
   readonly state: RoutedState;
   /**
    * Age of the view above which keys are not trusted, in milliseconds: a key
@@ -59,6 +64,7 @@
 const answerSlackMs = 20;
 const defaultLeftMs = 10_000;
 const urlBase = "?";
+const firstFailureStatus = 400;
 /** Longest silence of a stream, from the callers' own patience of 2 s. */
 const streamStallMs = 1_800;
 const minSafeStallMs = 300;
@@ -134,6 +140,7 @@
       reason: answer.message,
       viewAgeMs: Math.round(view.getAgeMs()),
     });
+    options.metrics.recordRefusal(String(answer.status));
     // The rest of a body would be taken for the next request.
     request.resume();
     routedAnswer.writeOwnAnswer(response, answer);
@@ -218,16 +225,34 @@
       state.openRequests -= 1;
       places.end();
       const { firstAtMs, longestPauseMs } = sink.getTimes();
-      options.logger.info("Request done", {
+      const decided = places.describe();
+      const tookMs = scheduler.now() - arrivedAtMs;
+      const firstMs = firstAtMs === undefined
+        ? undefined
+        : firstAtMs - arrivedAtMs;
+      options.metrics.recordRequest({
+        kind: route.kind,
+        priority: needed.priority,
+        outcome: callerGone.signal.aborted
+          ? "gone"
+          : describeOutcome(sink.getStatus()),
+        tookMs,
+        firstMs,
+        waitedMs: decided.waitedMs,
+      });
+      const isOrdinary = !callerGone.signal.aborted &&
+        sink.getStatus() < firstFailureStatus;
+      const log = isOrdinary ? options.logger.ordinary : options.logger.info;
+      log("Request done", {
         requestId,
         route: route.name,
         workspace: needed.workspace,
         status: callerGone.signal.aborted ? "gone" : sink.getStatus(),
         attempts,
-        tookMs: Math.round(scheduler.now() - arrivedAtMs),
-        firstMs: firstAtMs && Math.round(firstAtMs - arrivedAtMs),
+        tookMs: Math.round(tookMs),
+        firstMs: firstMs && Math.round(firstMs),
         longestPauseMs: Math.round(longestPauseMs),
-        ...places.describe(),
+        ...decided,
       });
     });
   }
@@ -251,6 +276,13 @@
   };
 }
 
+function describeOutcome(
+  status: number,
+): routedMetrics.RequestEnd["outcome"] {
+  if (status < firstFailureStatus) return "answered";
+  return status === 503 ? "refused" : "failed";
+}
+
 /** Longest silence of a plain upstream before a safe request goes elsewhere. */
 function computeStallMs(route: routing.Route, leftMs: number): number {
   const patienceMs = Math.max(
--- a/packages/anvilhinge/src/entry/choice/routed_policy.ts
+++ b/packages/anvilhinge/src/entry/choice/routed_policy.ts
@@ -3,6 +3,7 @@
  * of one request: at which upstream there is a place, and whether another try
  * is within the budget.
  */
+import type * as workHub from "@anvilhinge/coordination/dispatch/work_hub";
 import type * as work from "@anvilhinge/coordination/dispatch/work";
 import type * as workClient from "@anvilhinge/coordination/dispatch/work_client";
 import * as health from "@anvilhinge/coordination/health";
@@ -13,6 +14,7 @@
 import type * as scheduler from "../../ports/scheduler.ts";
 import type * as routing from "../../settings/routing.ts";
 import type * as logger from "../../telemetry/logger.ts";
+import type * as routedMetrics from "../operators/routed_metrics.ts";
 import type * as session from "../session/session.ts";
 import * as placeDispatch from "./place_dispatch.ts";
 
@@ -63,6 +65,8 @@
   setUpstreams(upstreams: readonly routing.ListedUpstream[]): void;
   startRequest(work: RoutedWork, decide: DecideWaiting): RequestPlaces;
   handleMessage(message: placeDispatch.DispatchMessage, from: string): void;
+  countRetries(): number;
+  describePools(): readonly workHub.PoolLoad[];
 }
 
 /** Bound on retries over all entries; each uses an equal part. */
@@ -82,6 +86,10 @@
   readonly scheduler: scheduler.Scheduler;
   readonly random: random.RandomSource;
   readonly logger: logger.Logger;
+  readonly metrics: Pick<
+    routedMetrics.RoutedMetrics,
+    "recordRetry" | "recordDecision"
+  >;
   readonly sockets: datagrams.Datagrams;
   readonly signal: AbortSignal;
 }
@@ -146,6 +154,7 @@
     const found = asking.get(event.key);
     if (found === undefined) return;
     asking.delete(event.key);
+    options.metrics.recordDecision(event.by, event.kind);
     if (event.kind === "denied") {
       const reason = `No place is expected soon (said by the ${event.by})`;
       const { retryAfterMs } = event;
@@ -298,7 +307,11 @@
         engine === undefined
           ? chooseLeastLoaded(work.service, tried)
           : askForPlace(tried),
-      takeRetry: budget.take,
+      takeRetry() {
+        const isTaken = budget.take();
+        options.metrics.recordRetry(isTaken);
+        return isTaken;
+      },
       recordPause(pauseMs) {
         if (engine !== undefined) {
           dispatch.recordPause(work.service, pauseMs);
@@ -370,6 +383,8 @@
     },
     startRequest,
     handleMessage: dispatch.handle,
+    countRetries: budget.count,
+    describePools: dispatch.describe,
   };
 }
 
--- a/packages/anvilhinge/src/entry/choice/routed_policy_test.ts
+++ b/packages/anvilhinge/src/entry/choice/routed_policy_test.ts
@@ -92,6 +92,7 @@
       level: "error",
       stream: new stream.PassThrough(),
     }),
+    metrics: { recordRetry() {}, recordDecision() {} },
     sockets: { send() {} },
     signal: abort.signal,
   });
--- a/packages/anvilhinge/src/entry/routed_entry.ts
+++ b/packages/anvilhinge/src/entry/routed_entry.ts
@@ -15,11 +15,13 @@
 import type * as scheduler from "../ports/scheduler.ts";
 import type * as upstreamDialect from "../ports/upstream_dialect.ts";
 import type * as routedProcess from "../settings/routed_process.ts";
-import * as logger from "../telemetry/logger.ts";
+import * as routedLogger from "../telemetry/routed_logger.ts";
+import * as metrics from "../telemetry/metrics.ts";
 import * as routedHttp from "./callers/routed_http.ts";
 import type * as placeDispatch from "./choice/place_dispatch.ts";
 import * as routedPolicy from "./choice/routed_policy.ts";
 import * as rosterNode from "./control/roster_node.ts";
+import * as routedMetrics from "./operators/routed_metrics.ts";
 import * as routingView from "./routing/routing_view.ts";
 
 /** Where callers that ask should connect. */
@@ -44,6 +46,8 @@
     readonly address: string;
     readonly scheduler: scheduler.Scheduler;
     readonly signal: AbortSignal;
+    /** Called once for each call with how it went. */
+    readonly onCall?: (call: string, outcome: "answered" | "failed") => void;
   }): objectStore.ObjectStore;
   readonly source: routingView.RoutingSource;
   readonly callers: callerDialect.CallerDialect;
@@ -107,9 +111,10 @@
   const randomSource = random.createRandomSource(
     nodeCrypto.randomInt(2 ** 31),
   );
-  const log = logger.createLogger({
+  const log = routedLogger.createRoutedLogger({
     part: "entry",
     level: settings.log.level,
+    clock,
   });
   log.info("Starts", { id: settings.id });
   const state: routedHttp.RoutedState = {
@@ -118,6 +123,18 @@
     openRequests: 0,
   };
   let isReady = false;
+  const registry = metrics.createMetrics();
+  const counts = routedMetrics.createRoutedMetrics(registry, {
+    countOpen: () => state.openRequests,
+    getViewVersion: () => view.getTable()?.settings.version ?? 0,
+    getViewAgeMs: () => view.getAgeMs(),
+    countLive: () => roster.listLive().length,
+    isHub: () => roster.isHub(),
+    countRetriesLeft: () => policy.countRetries(),
+    describePools: () => policy.describePools(),
+    countDroppedLines: log.countDropped,
+    getLoopDelayMs: routedMetrics.createLoopWatch({ signal: abort.signal }),
+  });
   let handleMessage: (message: Message, from: string) => void = () => {};
   const sockets = await datagrams.openDatagrams({
     address: settings.peers,
@@ -168,6 +185,7 @@
     scheduler: clock,
     random: randomSource,
     logger: log,
+    metrics: counts,
     sockets,
     signal: abort.signal,
   });
@@ -179,6 +197,7 @@
       address: settings.store,
       scheduler: clock,
       signal: abort.signal,
+      onCall: counts.recordStoreCall,
     }),
     scheduler: clock,
     elapsed,
@@ -205,6 +224,7 @@
       scheduler: clock,
       random: randomSource,
       logger: log,
+      metrics: counts,
       state,
       maxKeyAgeMs: keyAgeShare * settings.bounds.revocationMs,
     }),
@@ -221,6 +241,7 @@
     },
   };
   const readiness = http.createServer(platform.createReadinessHandler(points));
+  const shown = routedMetrics.createMetricsServer(registry);
   const directory = http.createServer(platform.createDirectoryHandler(points));
 
   function wait(delayMs: number): Promise<void> {
@@ -247,7 +268,7 @@
     }
     log.info("Stopped", { open: state.openRequests });
     abort.abort();
-    for (const server of [callers, readiness, directory]) {
+    for (const server of [callers, readiness, directory, shown]) {
       server.close();
       server.closeAllConnections();
     }
@@ -266,6 +287,7 @@
   await Promise.all([
     listen(readiness, settings.readiness),
     listen(directory, settings.directory),
+    listen(shown, settings.metrics),
   ]);
   await viewReady;
   await listen(callers, settings.callers);
--- a/packages/anvilhinge/src/settings/routed_process.ts
+++ b/packages/anvilhinge/src/settings/routed_process.ts
@@ -65,6 +65,8 @@
   readiness: hostPort,
   /** Address for callers that ask where to connect. */
   directory: hostPort,
+  /** Address at which the process shows its metrics. */
+  metrics: hostPort,
   bounds,
 });
 
--- a/packages/anvilhinge/src/telemetry/logger.ts
+++ b/packages/anvilhinge/src/telemetry/logger.ts
@@ -12,6 +12,11 @@
   info(message: string, fields?: Fields): void;
   warn(message: string, fields?: Fields): void;
   error(message: string, fields?: Fields): void;
+  /**
+   * Writes a line of ordinary course, of which some may be left out under load;
+   * the next line tells how many.
+   */
+  ordinary(message: string, fields?: Fields): void;
   /** Warns about one cause the first time only; `cause` identifies it. */
   warnOnce(cause: string, message: string): void;
 }
@@ -23,16 +28,26 @@
    * Takes one JSON object a line.
    * @default process.stdout
    */
-  readonly stream?: NodeJS.WritableStream;
+  readonly stream?: Pick<NodeJS.WritableStream, "write">;
+  /** Whether one more ordinary line fits. Default: all do. */
+  readonly takeOrdinary?: () => boolean;
 }
 
 const maxRememberedCauses = 1_024;
+/** Ordinary lines that are left out before that is told. */
+const leftOutStep = 100;
 
 /** Creates a logger whose messages begin with `[part]`. */
 export function createLogger(
-  { part, level, stream = globalThis.process.stdout }: LoggerOptions,
+  { part, level, stream = globalThis.process.stdout, takeOrdinary }:
+    LoggerOptions,
 ): Logger {
-  const log = bunyan.createLogger({ name: "anvilhinge", level, stream });
+  const log = bunyan.createLogger({
+    name: "anvilhinge",
+    level,
+    stream: stream as NodeJS.WritableStream,
+  });
+  let leftOut = 0;
   const prefix = `[${part}]`;
   const warnedCauses = new Set<string>();
   return {
@@ -40,6 +55,17 @@
     info: (message, fields = {}) => log.info(fields, `${prefix} ${message}`),
     warn: (message, fields = {}) => log.warn(fields, `${prefix} ${message}`),
     error: (message, fields = {}) => log.error(fields, `${prefix} ${message}`),
+    ordinary(message, fields = {}) {
+      if (takeOrdinary === undefined || takeOrdinary()) {
+        const leftOutBefore = leftOut === 0 ? undefined : leftOut;
+        leftOut = 0;
+        log.info({ ...fields, leftOutBefore }, `${prefix} ${message}`);
+        return;
+      }
+      leftOut += 1;
+      if (leftOut % leftOutStep !== 0) return;
+      log.warn({ leftOut }, `${prefix} Left out ordinary lines`);
+    },
     warnOnce(cause, message) {
       if (warnedCauses.has(cause)) return;
       // Forgets all causes when full, which keeps the memory bounded.
