--- a/packages/anvilhinge/src/agent/ranks/order_runner.ts
+++ b/packages/anvilhinge/src/agent/ranks/order_runner.ts
@@ -32,7 +32,7 @@
             scheduleRead(effect.afterMs);
             break;
           case "send":
-            void send(effect.expected);
+            void send();
             break;
           case "finish":
             abort.abort();
@@ -56,8 +56,8 @@
       ));
     }
 
-    async function send(expected: number): Promise<void> {
-      const reply = await engine.sendOrder(order, { epoch, expected });
+    async function send(): Promise<void> {
+      const reply = await engine.sendOrder(order, epoch);
       execute(settler.handle({ kind: "reply", reply }));
     }
 
--- a/packages/anvilhinge/src/ports/rank_engine.ts
+++ b/packages/anvilhinge/src/ports/rank_engine.ts
@@ -37,6 +37,6 @@
   readExperts(): Promise<HeldExperts | undefined>;
   sendOrder(
     order: rankOrders.RankOrder,
-    options: { readonly epoch: number; readonly expected: number },
+    epoch: number,
   ): Promise<rankOrders.OrderReply>;
 }
--- a/packages/coordination/src/maps/rank_orders.ts
+++ b/packages/coordination/src/maps/rank_orders.ts
@@ -62,7 +62,8 @@
   /** Its state holds, and no earlier sending of it can change the rank. */
   | {
     readonly kind: "done";
-    readonly state: RankState;
+    /** Undefined when the rank said so itself. */
+    readonly state: RankState | undefined;
     /** How often it had to be sent. */
     readonly sendings: number;
   }
--- a/packages/coordination/src/maps/switch_round.ts
+++ b/packages/coordination/src/maps/switch_round.ts
@@ -309,7 +309,7 @@
     rank: number,
     outcome: rankOrders.OrderOutcome,
   ): Effects {
-    if (outcome.kind !== "unsettled") {
+    if (outcome.kind !== "unsettled" && outcome.state !== undefined) {
       if (outcome.state.epoch !== options.epoch) return abort("A new epoch");
       states.set(rank, outcome.state);
     }
--- a/packages/coordination/src/testing/ordered_group.ts
+++ b/packages/coordination/src/testing/ordered_group.ts
@@ -44,6 +44,16 @@
    * @default 0.12
    */
   readonly passShare?: number;
+  /**
+   * Steps after which a busy group turns idle, and an idle one busy; an idle
+   * group begins no passes. Default: always busy.
+   */
+  readonly turnSteps?: number;
+  /**
+   * Share of the steps that carry a late order out.
+   * @default 0.04
+   */
+  readonly lateTaskShare?: number;
   readonly variant?: GroupVariant;
 }
 
@@ -81,12 +91,13 @@
 const maxSendings = 4;
 const leadPasses = 2;
 const defaultPassShare = 0.12;
-const lateTaskShare = 0.04;
+const defaultLateTaskShare = 0.04;
 
 /** Runs one group; returns what was seen. */
 export function runOrderedGroup(options: GroupOptions): GroupRun {
   const draw = random.createRandomSource(options.seed);
   const { faults, variant = {}, passShare = defaultPassShare } = options;
+  const lateTaskShare = options.lateTaskShare ?? defaultLateTaskShare;
   const lateTasks: Task[] = [];
   let nowMs = 0;
   const leaders: Leader[] = Array.from(
@@ -233,7 +244,7 @@
         }
       }
     }
-    carryOut(settler.start());
+    leader.tasks.push(() => carryOut(settler.start()));
   }
 
   function feed(leader: Leader, event: switchRound.RoundEvent): void {
@@ -361,8 +372,9 @@
   for (let count = 0; count < options.steps; count += 1) {
     nowMs += 1;
     const chance = draw();
+    const turn = Math.floor(count / (options.turnSteps ?? Infinity));
     if (chance < passShare) {
-      beginPass();
+      if (turn % 2 === 0) beginPass();
     } else if (chance < passShare + lateTaskShare) {
       const index = Math.floor(draw() * lateTasks.length);
       lateTasks.splice(index, 1)[0]?.();
