--- a/packages/anvilhinge/src/agent/ranks/map_duty.ts
+++ b/packages/anvilhinge/src/agent/ranks/map_duty.ts
@@ -14,13 +14,7 @@
 import type * as logger from "../../telemetry/logger.ts";
 import type * as rankCalls from "./rank_calls.ts";
 import type * as rankPeers from "./rank_peers.ts";
-
-/** Calls a rank; resolves to undefined when it did not answer in time. */
-export type CallRank = (
-  rank: number,
-  call: rankCalls.RankCall,
-  options: { readonly timeoutMs: number },
-) => Promise<rankCalls.RankAnswer | undefined>;
+import type * as rankReach from "./rank_reach.ts";
 
 export interface MapDutyOptions {
   readonly engine: rankEngine.RankEngine;
@@ -29,7 +23,7 @@
   readonly slots: number;
   readonly scheduler: scheduler.Scheduler;
   readonly logger: logger.Logger;
-  readonly callRank: CallRank;
+  readonly callRank: rankReach.CallRank;
   readonly createVersion: mapVersions.CreateMapVersion;
   /** Whether the epoch began after the process did. */
   readonly isEpochNew: (epoch: number) => boolean;
@@ -62,6 +56,10 @@
 }
 
 const readTimeoutMs = 250;
+/** The same past a silent agent, whose engine's reports lag. */
+const urgentReadTimeoutMs = 800;
+/** Time without a new pass after which a busy group is looked at for a hold. */
+const stallMs = 400;
 const orderTimeoutMs = 2_600;
 /**
  * Skew above which a switch repays its copies, for an idle and for a full rank:
@@ -118,13 +116,13 @@
 
   async function collect(
     own: rankPeers.RankStatus,
+    isUrgent: boolean,
   ): Promise<readonly Collected[] | undefined> {
     const ranks = Array.from({ length: own.size }, (_, rank) => rank);
+    const timeoutMs = isUrgent ? urgentReadTimeoutMs : readTimeoutMs;
     const answers = await Promise.all(
       ranks.map((rank) =>
-        options.callRank(rank, { kind: "experts" }, {
-          timeoutMs: readTimeoutMs,
-        })
+        options.callRank(rank, { kind: "experts" }, { timeoutMs, isUrgent })
       ),
     );
     const collected = answers.filter((answer) => answer?.kind === "experts");
@@ -186,15 +184,18 @@
           return resolve({ outcome: effect.outcome, phaseMs });
         }
         const { call, rank } = effect;
+        // Only while the ranks copy does the group go on.
+        const isUrgent = round.getPhase() !== "preparing";
         const answer = effect.kind === "read"
           ? await options.callRank(rank, { kind: "report" }, {
-            timeoutMs: readTimeoutMs,
+            timeoutMs: isUrgent ? urgentReadTimeoutMs : readTimeoutMs,
+            isUrgent,
           })
           : await options.callRank(rank, {
             kind: "order",
             order: effect.order,
             epoch: own.epoch,
-          }, { timeoutMs: orderTimeoutMs });
+          }, { timeoutMs: orderTimeoutMs, isUrgent });
         feed(convertAnswer(answer, { call, rank }));
       }
 
@@ -336,11 +337,12 @@
       enterEpoch(own);
       observePass(own);
       const popularity = await observe();
+      const isStalled = own.stalledMs >= stallMs;
       const isDue = popularity !== undefined &&
         popularity.agreeing >= minAgreeing && own.step >= switchStep &&
         scheduler.now() >= pausedUntilMs;
-      if (!isDue && own.heldStep === undefined) return;
-      const collected = await collect(own);
+      if (!isDue && !isStalled && own.heldStep === undefined) return;
+      const collected = await collect(own, isStalled);
       if (collected === undefined) {
         pausedUntilMs = scheduler.now() + failurePauseMs;
         return;
@@ -349,7 +351,7 @@
       if (map === undefined) return;
       const held = map.states.find(({ heldStep }) => heldStep !== undefined);
       if (held !== undefined) return clearHold(own, held, map.layers);
-      if (popularity === undefined) return;
+      if (popularity === undefined || isStalled) return;
       const occupancy = computeOccupancy(collected, options.slots);
       const allowedSkew = idleSkew + occupancy * (busySkew - idleSkew);
       if (computeMeanSkew(map, popularity) <= allowedSkew) return;
--- a/packages/anvilhinge/src/agent/ranks/rank_calls.ts
+++ b/packages/anvilhinge/src/agent/ranks/rank_calls.ts
@@ -69,6 +69,41 @@
 const orderTimeoutMs = 2_500;
 const maxRemembered = 256;
 
+/** Carries a call out at an engine. */
+export async function executeCall(
+  call: RankCall,
+  { engine, scheduler }: Pick<RankCallsOptions, "engine" | "scheduler">,
+): Promise<RankAnswer> {
+  switch (call.kind) {
+    case "report": {
+      const report = await engine.readReport();
+      return report === undefined
+        ? { kind: "silent" }
+        : { kind: "report", report };
+    }
+    case "experts": {
+      const [report, experts] = await Promise.all([
+        engine.readReport(),
+        engine.readExperts(),
+      ]);
+      return report === undefined || experts === undefined
+        ? { kind: "silent" }
+        : { kind: "experts", report, experts };
+    }
+    case "order": {
+      const { order, epoch } = call;
+      const outcome = await orderRunner.runOrder({
+        engine,
+        scheduler,
+        order,
+        epoch,
+        timeoutMs: orderTimeoutMs,
+      });
+      return { kind: "order", outcome };
+    }
+  }
+}
+
 /** Creates the calls of one agent. */
 export function createRankCalls(options: RankCallsOptions): RankCalls {
   const { engine, scheduler } = options;
@@ -77,36 +112,8 @@
   const received = new Map<string, Promise<RankAnswer>>();
   let sent = 0;
 
-  async function execute(call: RankCall): Promise<RankAnswer> {
-    switch (call.kind) {
-      case "report": {
-        const report = await engine.readReport();
-        return report === undefined
-          ? { kind: "silent" }
-          : { kind: "report", report };
-      }
-      case "experts": {
-        const [report, experts] = await Promise.all([
-          engine.readReport(),
-          engine.readExperts(),
-        ]);
-        return report === undefined || experts === undefined
-          ? { kind: "silent" }
-          : { kind: "experts", report, experts };
-      }
-      case "order": {
-        const { order, epoch } = call;
-        const outcome = await orderRunner.runOrder({
-          engine,
-          scheduler,
-          order,
-          epoch,
-          timeoutMs: orderTimeoutMs,
-        });
-        return { kind: "order", outcome };
-      }
-    }
-  }
+  const execute = (call: RankCall): Promise<RankAnswer> =>
+    executeCall(call, { engine, scheduler });
 
   function keepAnswer(id: string, answer: Promise<RankAnswer>): void {
     received.set(id, answer);
--- a/packages/anvilhinge/src/agent/ranks/rank_peers.ts
+++ b/packages/anvilhinge/src/agent/ranks/rank_peers.ts
@@ -16,6 +16,10 @@
   readonly heldStep: number | undefined;
   /** Last pass that was begun. */
   readonly step: number;
+  /** Time since the last pass began, in milliseconds; 0 without requests. */
+  readonly stalledMs: number;
+  /** Address of the rank's engine, as `host:port`. */
+  readonly engine: string;
 }
 
 export interface RankPeer {
@@ -30,7 +34,12 @@
   record(status: RankStatus, address: string): void;
   /** Agents of the own group that were heard of lately, by rank. */
   listLive(): readonly RankPeer[];
-  find(rank: number): RankPeer | undefined;
+  /** Whether the peer was heard of lately, by the measure for its rank. */
+  isLive(peer: RankPeer): boolean;
+  /** Whether the peer was heard of within the longer time. */
+  isKnown(peer: RankPeer): boolean;
+  /** Returns the last agent of a rank in the present epoch, live or not. */
+  findLast(rank: number): RankPeer | undefined;
   /** Whether this rank tells all others of itself often. */
   isCandidate(): boolean;
   isLeading(): boolean;
@@ -39,9 +48,9 @@
 export interface RankPeersOptions {
   readonly clock: clock.Clock;
   /**
-   * Silence after which a candidate counts as gone, in milliseconds; three of
-   * its messages.
-   * @default 700
+   * Silence after which a candidate counts as gone, in milliseconds; four of
+   * its messages. A leader that is taken over too soon does no harm.
+   * @default 450
    */
   readonly candidateSilenceMs?: number;
   /**
@@ -51,7 +60,7 @@
   readonly silenceMs?: number;
 }
 
-const defaultCandidateSilenceMs = 700;
+const defaultCandidateSilenceMs = 450;
 const defaultSilenceMs = 3_000;
 /** Lowest ranks that tell all others of themselves often. */
 const candidateCount = 3;
@@ -64,13 +73,15 @@
   const peers = new Map<number, RankPeer>();
   let own: RankStatus | undefined;
 
+  function isKnown({ status, heardAtMs }: RankPeer): boolean {
+    return status.group === own?.group &&
+      options.clock.now() - heardAtMs < silenceMs;
+  }
+
   /** Peers that were heard of within the longer time, by rank. */
   function listKnown(): readonly RankPeer[] {
-    const nowMs = options.clock.now();
     return [...peers.values()]
-      .filter(({ status, heardAtMs }) =>
-        status.group === own?.group && nowMs - heardAtMs < silenceMs
-      )
+      .filter(isKnown)
       .sort((a, b) => a.status.rank - b.status.rank);
   }
 
@@ -82,13 +93,14 @@
     return lower < candidateCount;
   }
 
+  function isLiveAmong(peer: RankPeer, known: readonly RankPeer[]): boolean {
+    return !isCandidateRank(peer.status.rank, known) ||
+      options.clock.now() - peer.heardAtMs < candidateSilenceMs;
+  }
+
   function listLive(): readonly RankPeer[] {
-    const nowMs = options.clock.now();
     const known = listKnown();
-    return known.filter(({ status, heardAtMs }) =>
-      !isCandidateRank(status.rank, known) ||
-      nowMs - heardAtMs < candidateSilenceMs
-    );
+    return known.filter((peer) => isLiveAmong(peer, known));
   }
 
   return {
@@ -104,7 +116,14 @@
       });
     },
     listLive,
-    find: (rank) => listKnown().find(({ status }) => status.rank === rank),
+    isLive: (peer) => isKnown(peer) && isLiveAmong(peer, listKnown()),
+    isKnown,
+    findLast(rank) {
+      const peer = peers.get(rank);
+      const isOfEpoch = peer?.status.group === own?.group &&
+        peer?.status.epoch === own?.epoch;
+      return isOfEpoch ? peer : undefined;
+    },
     isCandidate: () =>
       own !== undefined && isCandidateRank(own.rank, listKnown()),
     isLeading() {
--- /dev/null
+++ b/packages/anvilhinge/src/agent/ranks/rank_reach.ts
@@ -0,0 +1,98 @@
+/**
+ * Reaches the ranks of a group: through the agent beside each, or straight at
+ * the engine of a rank whose agent is silent. A pass that is held stops the
+ * whole group, so that its end must not depend on each agent.
+ */
+import type * as rankEngine from "../../ports/rank_engine.ts";
+import type * as scheduler from "../../ports/scheduler.ts";
+import * as rankCalls from "./rank_calls.ts";
+import type * as rankPeers from "./rank_peers.ts";
+
+export interface CallOptions {
+  readonly timeoutMs: number;
+  /** Whether the group stands still, so that silent agents are passed by. */
+  readonly isUrgent: boolean;
+}
+
+/** Calls a rank; resolves to undefined when it did not answer in time. */
+export type CallRank = (
+  rank: number,
+  call: rankCalls.RankCall,
+  options: CallOptions,
+) => Promise<rankCalls.RankAnswer | undefined>;
+
+export interface RankReachOptions {
+  readonly calls: rankCalls.RankCalls;
+  readonly peers: rankPeers.RankPeers;
+  readonly scheduler: scheduler.Scheduler;
+  /** Opens the engine of another agent; its reads are never outdated. */
+  readonly openEngine: (address: string) => rankEngine.RankEngine;
+}
+
+/**
+ * Time in which an agent answers an urgent call unless its process stands
+ * still: several sendings and the engine's answer.
+ */
+const agentAnswerMs = 120;
+
+/** Creates the calls of a leader to its ranks. */
+export function createRankReach(
+  { calls, peers, scheduler, openEngine }: RankReachOptions,
+): CallRank {
+  const engines = new Map<string, rankEngine.RankEngine>();
+
+  function getEngine(address: string): rankEngine.RankEngine {
+    const known = engines.get(address);
+    const engine = known ?? openEngine(address);
+    engines.set(address, engine);
+    return engine;
+  }
+
+  function askEngine(
+    { status }: rankPeers.RankPeer,
+    call: rankCalls.RankCall,
+  ): Promise<rankCalls.RankAnswer> {
+    const engine = getEngine(status.engine);
+    return rankCalls.executeCall(call, { engine, scheduler });
+  }
+
+  function askUrgently(
+    peer: rankPeers.RankPeer,
+    call: rankCalls.RankCall,
+    timeoutMs: number,
+  ): Promise<rankCalls.RankAnswer | undefined> {
+    return new Promise((resolve) => {
+      const answered = new AbortController();
+      const { signal } = answered;
+      function finish(answer: rankCalls.RankAnswer | undefined): void {
+        answered.abort();
+        resolve(answer);
+      }
+      function askDirectly(): void {
+        // Both may carry an order out: repetitions are harmless.
+        void askEngine(peer, call).then((answer) => {
+          if (answer.kind !== "silent") finish(answer);
+        });
+      }
+      void calls.call(peer.address, call, { timeoutMs }).then((answer) => {
+        if (answer !== undefined) finish(answer);
+      });
+      const delayMs = peers.isLive(peer) ? agentAnswerMs : 0;
+      scheduler.schedule(askDirectly, { delayMs, signal });
+      scheduler.schedule(() => finish(undefined), {
+        delayMs: timeoutMs,
+        signal,
+      });
+    });
+  }
+
+  return async (rank, call, { timeoutMs, isUrgent }) => {
+    if (rank === peers.getOwn()?.rank) return await calls.execute(call);
+    const peer = peers.findLast(rank);
+    if (peer === undefined) return undefined;
+    if (isUrgent) return await askUrgently(peer, call, timeoutMs);
+    return peers.isKnown(peer)
+      ? await calls.call(peer.address, call, { timeoutMs })
+      : undefined;
+  };
+}
