--- a/packages/anvilhinge/src/agent/ranks/map_duty.ts
+++ b/packages/anvilhinge/src/agent/ranks/map_duty.ts
@@ -5,7 +5,7 @@
  */
 import * as boundedPlanner from "@anvilhinge/coordination/maps/bounded_planner";
 import * as countsWindow from "@anvilhinge/coordination/maps/counts_window";
-import type * as mapVersions from "@anvilhinge/coordination/maps/map_versions";
+import * as mapVersions from "@anvilhinge/coordination/maps/map_versions";
 import type * as rankOrders from "@anvilhinge/coordination/maps/rank_orders";
 import * as switchRound from "@anvilhinge/coordination/maps/switch_round";
 import type * as rankEngine from "../../ports/rank_engine.ts";
@@ -44,6 +44,9 @@
 /** A rank's report and experts, read in one call. */
 type Collected = Extract<rankCalls.RankAnswer, { readonly kind: "experts" }>;
 
+/** By rank; undefined for a rank that did not answer. */
+type Collection = readonly (Collected | undefined)[];
+
 interface RoundResult {
   readonly outcome: switchRound.RoundOutcome;
   /** Time spent in each phase, in milliseconds. */
@@ -58,8 +61,12 @@
 const readTimeoutMs = 250;
 /** The same past a silent agent, whose engine's reports lag. */
 const urgentReadTimeoutMs = 800;
+/** The same for the first look at a group that stands still. */
+const stalledReadTimeoutMs = 150;
 /** Time without a new pass after which a busy group is looked at for a hold. */
-const stallMs = 400;
+const stallMs = 300;
+/** The same in passes, for a group whose passes take long. */
+const stallPasses = 4;
 const orderTimeoutMs = 2_600;
 /**
  * Skew above which a switch repays its copies, for an idle and for a full rank:
@@ -91,7 +98,7 @@
     layerCount: experts.sets,
     expertCount: experts.expertsPerSet,
   });
-  /** Longest late time to arm all ranks, and time of a pass, in milliseconds. */
+  /** Longest late time to hold a pass and arm all ranks, and time of a pass. */
   let armingMs = 0;
   let passMs = 0;
   let seenStep: { readonly step: number; readonly atMs: number } | undefined;
@@ -114,56 +121,69 @@
     return window.estimate();
   }
 
+  /** Reads all ranks; those that don't answer are undefined. */
   async function collect(
     own: rankPeers.RankStatus,
-    isUrgent: boolean,
-  ): Promise<readonly Collected[] | undefined> {
+    callOptions: rankReach.CallOptions,
+  ): Promise<Collection> {
     const ranks = Array.from({ length: own.size }, (_, rank) => rank);
-    const timeoutMs = isUrgent ? urgentReadTimeoutMs : readTimeoutMs;
     const answers = await Promise.all(
       ranks.map((rank) =>
-        options.callRank(rank, { kind: "experts" }, { timeoutMs, isUrgent })
+        options.callRank(rank, { kind: "experts" }, callOptions)
       ),
     );
-    const collected = answers.filter((answer) => answer?.kind === "experts");
-    return collected.length === own.size ? collected : undefined;
+    return answers.map((answer) =>
+      answer?.kind === "experts" ? answer : undefined
+    );
   }
 
-  /** Joins what the ranks hold; undefined while they are not of one mind. */
+  /**
+   * Joins what the ranks hold; undefined while they are not of one mind. A rank
+   * that is missing gets what no other holds.
+   */
   function joinMap(
-    collected: readonly Collected[],
+    collection: Collection,
     own: rankPeers.RankStatus,
   ): GroupMap | undefined {
-    const ordered = [...collected].sort((a, b) =>
-      a.report.state.rank - b.report.state.rank
-    );
-    const [first] = ordered;
-    const isOne = ordered.every(({ report, experts: held }, rank) =>
-      report.state.rank === rank && report.state.epoch === own.epoch &&
-      held.epoch === own.epoch && held.version === first?.experts.version
+    const version = collection.find((found) => found)?.experts.version;
+    const isOne = collection.every((found, rank) =>
+      found === undefined ||
+      (found.report.state.rank === rank &&
+        found.report.state.epoch === own.epoch &&
+        found.experts.epoch === own.epoch &&
+        found.experts.version === version)
     );
     if (!isOne) return undefined;
-    const layers = Array.from(
-      { length: experts.sets },
-      (_, layer) =>
-        ordered.map(({ experts: held }) => held.experts[layer] ?? []),
-    );
-    return { layers, states: ordered.map(({ report }) => report.state) };
+    const layers = Array.from({ length: experts.sets }, (_, layer) => {
+      const held = collection.map((found) => found?.experts.experts[layer]);
+      const known = new Set(held.flatMap((list) => list ?? []));
+      const rest = Array.from(
+        { length: experts.expertsPerSet },
+        (_, expert) => expert,
+      ).filter((expert) => !known.has(expert));
+      return held.map((list) => list ?? rest);
+    });
+    const states = collection.flatMap((found) => found?.report.state ?? []);
+    return { layers, states };
   }
 
   function runRound(
     own: rankPeers.RankStatus,
     event: switchRound.RoundEvent,
+    /** Rank that is not waited for at first. */
+    silentRank?: number,
   ): Promise<RoundResult> {
     const phaseMs: Partial<Record<switchRound.RoundPhase, number>> = {};
+    let spared = silentRank;
     let phaseSinceMs = scheduler.now();
     const round = switchRound.createSwitchRound({
-      holdRank: own.rank,
+      ownRank: own.rank,
       rankCount: own.size,
       epoch: own.epoch,
       computeLead,
       lastHeldStep: lastHeldStep ?? 0,
       createVersion: options.createVersion,
+      getLeader: mapVersions.getLeader,
     });
     return new Promise((resolve) => {
       function feed(next: switchRound.RoundEvent): void {
@@ -184,18 +204,15 @@
           return resolve({ outcome: effect.outcome, phaseMs });
         }
         const { call, rank } = effect;
-        // Only while the ranks copy does the group go on.
-        const isUrgent = round.getPhase() !== "preparing";
-        const answer = effect.kind === "read"
-          ? await options.callRank(rank, { kind: "report" }, {
-            timeoutMs: isUrgent ? urgentReadTimeoutMs : readTimeoutMs,
-            isUrgent,
-          })
-          : await options.callRank(rank, {
-            kind: "order",
-            order: effect.order,
-            epoch: own.epoch,
-          }, { timeoutMs: orderTimeoutMs, isUrgent });
+        const isSilent = rank === spared;
+        if (isSilent) spared = undefined;
+        const answer = await options.callRank(
+          rank,
+          effect.kind === "read"
+            ? { kind: "report" }
+            : { kind: "order", order: effect.order, epoch: own.epoch },
+          chooseWay(effect, round.getPhase(), isSilent),
+        );
         feed(convertAnswer(answer, { call, rank }));
       }
 
@@ -203,24 +220,38 @@
     });
   }
 
-  async function clearHold(
-    own: rankPeers.RankStatus,
-    held: rankOrders.RankState,
-    inForce: rankOrders.MapLayers,
-  ): Promise<void> {
-    const heldStep = held.heldStep ?? 0;
-    logger.warn("Ends a hold that nobody follows", {
-      rank: held.rank,
-      heldStep,
-      epoch: own.epoch,
+  /** Looks for a hold in a group that stands still, and ends it. */
+  async function endHold(own: rankPeers.RankStatus): Promise<void> {
+    pausedUntilMs = scheduler.now() + failurePauseMs;
+    const quick = { timeoutMs: stalledReadTimeoutMs, way: "agent" } as const;
+    const first = await collect(own, quick);
+    const collection = isEnough(first) ? first : await collect(own, {
+      timeoutMs: urgentReadTimeoutMs,
+      way: "either",
     });
-    const { outcome } = await runRound(own, {
+    const held = findHeld(collection);
+    if (held === undefined && isEnough(collection)) return;
+    const map = isEnough(collection) ? joinMap(collection, own) : undefined;
+    if (held?.heldStep === undefined || map === undefined) {
+      logger.warn("The group stands still and can't be looked through", {
+        group: own.group,
+        epoch: own.epoch,
+        stalledMs: Math.round(own.stalledMs),
+        silentRanks: listSilent(collection),
+      });
+      return;
+    }
+    const { rank, heldStep } = held;
+    const details = { group: own.group, epoch: own.epoch, rank, heldStep };
+    const [silentRank] = listSilent(collection);
+    logger.warn("Ends a hold that nobody follows", { ...details, silentRank });
+    const { outcome, phaseMs } = await runRound(own, {
       kind: "clear",
-      heldRank: held.rank,
+      heldRank: rank,
       heldStep,
-      inForce,
-    });
-    logger.info("Ended a hold", { rank: held.rank, heldStep, outcome });
+      inForce: map.layers,
+    }, silentRank);
+    logger.info("Ended a hold", { ...details, phaseMs, outcome });
   }
 
   async function switchMap(
@@ -247,7 +278,8 @@
       states: map.states,
     });
     const isSwitched = outcome.kind === "switched";
-    const spentMs = phaseMs.arming ?? 0;
+    const { holding = 0, opening = 0, arming = 0 } = phaseMs;
+    const spentMs = holding + opening + arming;
     armingMs = Math.max(spentMs, armingMemory * armingMs);
     if (isSwitched) switchStep = outcome.step;
     else pausedUntilMs = scheduler.now() + failurePauseMs;
@@ -337,21 +369,31 @@
       enterEpoch(own);
       observePass(own);
       const popularity = await observe();
-      const isStalled = own.stalledMs >= stallMs;
       const isDue = popularity !== undefined &&
         popularity.agreeing >= minAgreeing && own.step >= switchStep &&
         scheduler.now() >= pausedUntilMs;
-      if (!isDue && !isStalled && own.heldStep === undefined) return;
-      const collected = await collect(own, isStalled);
-      if (collected === undefined) {
+      const isStalled =
+        own.stalledMs >= Math.max(stallMs, stallPasses * passMs);
+      if (isStalled || own.heldStep !== undefined) {
+        if (scheduler.now() >= pausedUntilMs) await endHold(own);
+        return;
+      }
+      if (popularity === undefined || !isDue) return;
+      const collection = await collect(own, {
+        timeoutMs: readTimeoutMs,
+        way: "agent",
+      });
+      const collected = collection.flatMap((found) => found ?? []);
+      const map = collected.length === own.size
+        ? joinMap(collection, own)
+        : undefined;
+      const isFree = map?.states.every(({ heldStep }) =>
+        heldStep === undefined
+      );
+      if (map === undefined || !isFree) {
         pausedUntilMs = scheduler.now() + failurePauseMs;
         return;
       }
-      const map = joinMap(collected, own);
-      if (map === undefined) return;
-      const held = map.states.find(({ heldStep }) => heldStep !== undefined);
-      if (held !== undefined) return clearHold(own, held, map.layers);
-      if (popularity === undefined || isStalled) return;
       const occupancy = computeOccupancy(collected, options.slots);
       const allowedSkew = idleSkew + occupancy * (busySkew - idleSkew);
       if (computeMeanSkew(map, popularity) <= allowedSkew) return;
@@ -363,6 +405,47 @@
   };
 }
 
+/** Chooses how a rank is reached: once a pass is held, the group waits. */
+function chooseWay(
+  effect: Exclude<switchRound.RoundEffect, { readonly kind: "finish" }>,
+  phase: switchRound.RoundPhase,
+  isSilent: boolean,
+): rankReach.CallOptions {
+  if (phase === "preparing") {
+    const timeoutMs = effect.kind === "read" ? readTimeoutMs : orderTimeoutMs;
+    return { timeoutMs, way: "agent" };
+  }
+  if (effect.kind === "read") {
+    return isSilent
+      ? { timeoutMs: stalledReadTimeoutMs, way: "agent" }
+      : { timeoutMs: urgentReadTimeoutMs, way: "either" };
+  }
+  // A hold at another rank: no one machine that stops then can keep it there.
+  const way = effect.order.kind === "hold" ? "engine" : "either";
+  return { timeoutMs: orderTimeoutMs, way };
+}
+
+function findHeld(collection: Collection): rankOrders.RankState | undefined {
+  return collection
+    .flatMap((found) => found?.report.state ?? [])
+    .find(({ heldStep }) => heldStep !== undefined);
+}
+
+function listSilent(collection: Collection): readonly number[] {
+  return [...collection.keys()].filter((rank) =>
+    collection[rank] === undefined
+  );
+}
+
+/** Whether a hold could be ended, or is known not to exist. */
+function isEnough(collection: Collection): boolean {
+  const silent = listSilent(collection);
+  const held = findHeld(collection);
+  const leader = held &&
+    switchRound.getHoldLeader(held.rank, collection.length);
+  return silent.every((rank) => rank === leader);
+}
+
 function convertAnswer(
   answer: rankCalls.RankAnswer | undefined,
   { call, rank }: { readonly call: number; readonly rank: number },
--- a/packages/anvilhinge/src/agent/ranks/rank_agent.ts
+++ b/packages/anvilhinge/src/agent/ranks/rank_agent.ts
@@ -16,7 +16,11 @@
 import * as rankReach from "./rank_reach.ts";
 
 /** What the leader must know of the group's engines. */
-export type GroupSpec = Pick<mapDuty.MapDutyOptions, "experts" | "slots">;
+export interface GroupSpec
+  extends Pick<mapDuty.MapDutyOptions, "experts" | "slots"> {
+  /** Age that reports have that are read from another machine. */
+  readonly reportLagMs: number;
+}
 
 interface StatusMessage {
   readonly kind: "status";
@@ -64,8 +68,9 @@
 /** Time between two turns of the leader; about a pass. */
 const leaderTurnMs = 50;
 const maxCopiesPerRank = 2;
-/** Age that the platform lets reports have that are read from afar, and slack. */
-const reportLagMs = 300;
+/** Time that is waited beyond the age that reports are said to have. */
+const reportLagSlackMs = 50;
+const defaultReportLagMs = 300;
 
 /** Whether a datagram holds a message for an agent. */
 export function isRankMessage(message: unknown): message is RankMessage {
@@ -92,7 +97,8 @@
       distantEngine.createDistantEngine({
         engine: options.openEngine(address),
         scheduler,
-        reportLagMs,
+        reportLagMs: reportLagSlackMs +
+          (options.getSpec()?.reportLagMs ?? defaultReportLagMs),
       }),
   });
   let duty: mapDuty.MapDuty | undefined;
@@ -184,7 +190,8 @@
     dutyRank = status.rank;
     duty = mapDuty.createMapDuty({
       engine,
-      ...group,
+      experts: group.experts,
+      slots: group.slots,
       scheduler,
       logger,
       callRank,
--- a/packages/anvilhinge/src/agent/ranks/rank_reach.ts
+++ b/packages/anvilhinge/src/agent/ranks/rank_reach.ts
@@ -8,10 +8,16 @@
 import * as rankCalls from "./rank_calls.ts";
 import type * as rankPeers from "./rank_peers.ts";
 
+/** The way to a rank. */
+export type Way =
+  | "agent"
+  /** Its agent, and straight to the engine when that is silent. */
+  | "either"
+  | "engine";
+
 export interface CallOptions {
   readonly timeoutMs: number;
-  /** Whether the group stands still, so that silent agents are passed by. */
-  readonly isUrgent: boolean;
+  readonly way: Way;
 }
 
 /** Calls a rank; resolves to undefined when it did not answer in time. */
@@ -56,7 +62,7 @@
     return rankCalls.executeCall(call, { engine, scheduler });
   }
 
-  function askUrgently(
+  function askEither(
     peer: rankPeers.RankPeer,
     call: rankCalls.RankCall,
     timeoutMs: number,
@@ -70,9 +76,7 @@
       }
       function askDirectly(): void {
         // Both may carry an order out: repetitions are harmless.
-        void askEngine(peer, call).then((answer) => {
-          if (answer.kind !== "silent") finish(answer);
-        });
+        void askEngine(peer, call).then(finish);
       }
       void calls.call(peer.address, call, { timeoutMs }).then((answer) => {
         if (answer !== undefined) finish(answer);
@@ -86,13 +90,19 @@
     });
   }
 
-  return async (rank, call, { timeoutMs, isUrgent }) => {
+  return async (rank, call, { timeoutMs, way }) => {
     if (rank === peers.getOwn()?.rank) return await calls.execute(call);
     const peer = peers.findLast(rank);
     if (peer === undefined) return undefined;
-    if (isUrgent) return await askUrgently(peer, call, timeoutMs);
-    return peers.isKnown(peer)
-      ? await calls.call(peer.address, call, { timeoutMs })
-      : undefined;
+    switch (way) {
+      case "agent":
+        return peers.isKnown(peer)
+          ? await calls.call(peer.address, call, { timeoutMs })
+          : undefined;
+      case "either":
+        return await askEither(peer, call, timeoutMs);
+      case "engine":
+        return await askEngine(peer, call);
+    }
   };
 }
--- a/packages/anvilhinge/src/agent/routed_agent.ts
+++ b/packages/anvilhinge/src/agent/routed_agent.ts
@@ -100,8 +100,8 @@
     const engineSpec = found?.services
       .find(({ name }) => name === settings.service)?.engine;
     if (engineSpec?.experts !== undefined) {
-      const { experts, slots } = engineSpec;
-      spec ??= { experts, slots };
+      const { experts, slots, reportLagMs } = engineSpec;
+      spec ??= { experts, slots, reportLagMs };
     }
     if (upstreams.kind === "unavailable") return false;
     const hosts = upstreams.objects
--- a/packages/anvilhinge/src/entry/choice/routed_policy_test.ts
+++ b/packages/anvilhinge/src/entry/choice/routed_policy_test.ts
@@ -16,6 +16,7 @@
   readChunkTokens: 512,
   usualPromptTokens: 800,
   usualAnswerTokens: 150,
+  reportLagMs: 200,
   experts: undefined,
 };
 
--- a/packages/anvilhinge/src/settings/routing.ts
+++ b/packages/anvilhinge/src/settings/routing.ts
@@ -62,6 +62,8 @@
   readonly readChunkTokens: number;
   readonly usualPromptTokens: number;
   readonly usualAnswerTokens: number;
+  /** Age that reports have that are read from another machine. */
+  readonly reportLagMs: number;
   /** Undefined where the ranks don't share experts. */
   readonly experts: ExpertSpec | undefined;
 }
--- a/packages/anvilhinge/src/testing/rank_world.ts
+++ b/packages/anvilhinge/src/testing/rank_world.ts
@@ -26,11 +26,14 @@
   /** Version of the map that a rank uses. */
   getVersion(rank: number): number;
   isHeld(): boolean;
+  isArmed(rank: number): boolean;
   /** What broke the promise of one map a pass; undefined when nothing did. */
   getViolation(): string | undefined;
   /** Stops the process of an agent; it goes on where it was with `thaw`. */
   freeze(rank: number): void;
   thaw(rank: number): void;
+  /** As `freeze`, and nobody else reaches the engine, which goes on. */
+  stopMachine(rank: number): void;
   /** Moves the demand to other experts. */
   shiftDemand(): void;
   /** Number of orders that came from another machine. */
@@ -48,6 +51,8 @@
 
 interface Process {
   isFrozen: boolean;
+  /** Whether other machines get no answer from the engine. */
+  isCutOff: boolean;
   /** What fell due while it was frozen. */
   missed: (() => void)[];
 }
@@ -57,6 +62,7 @@
 const latencyMs = 1;
 const copyMs = 150;
 const reportLagMs = 200;
+const answerTimeoutMs = 200;
 const expertCount = 64;
 const running = 6;
 /** Neighbouring experts in demand, so that one rank holds most of them. */
@@ -87,6 +93,7 @@
   }));
   const processes: Process[] = engines.map(() => ({
     isFrozen: false,
+    isCutOff: false,
     missed: [],
   }));
   const counts = Array.from({ length: expertCount }, () => 0);
@@ -202,13 +209,20 @@
     }
   }
 
-  function answer<Value>(process: Process, read: () => Value): Promise<Value> {
+  /** Answers after the way there and back; `silence` after the time-out. */
+  function answer<Value, Silence>(
+    { process, isDeaf, read, silence }: {
+      readonly process: Process;
+      readonly isDeaf: () => boolean;
+      readonly read: () => Value;
+      readonly silence: Silence;
+    },
+  ): Promise<Value | Silence> {
     return new Promise((resolve) => {
       world.schedule(() => {
-        const value = read();
-        world.schedule(() => runIn(process, () => resolve(value)), {
-          delayMs: latencyMs,
-        });
+        const value = isDeaf() ? silence : read();
+        const delayMs = isDeaf() ? answerTimeoutMs : latencyMs;
+        world.schedule(() => runIn(process, () => resolve(value)), { delayMs });
       }, { delayMs: latencyMs });
     });
   }
@@ -225,19 +239,24 @@
       const seen = history.findLast(({ atMs }) => atMs <= dueMs) ?? history[0];
       return seen!.reports[rank]!;
     }
+    const isDeaf = () => isDistant && processes[rank]!.isCutOff;
+    function ask<Value>(read: () => Value): Promise<Value | undefined> {
+      return answer({ process, isDeaf, read, silence: undefined });
+    }
     return {
       readReport: () =>
-        answer(process, () => isDistant ? readLagged() : createReport(rank)),
-      readCounts: () => answer(process, () => ({ epoch, counts: [...counts] })),
+        ask(() => isDistant ? readLagged() : createReport(rank)),
+      readCounts: () => ask(() => ({ epoch, counts: [...counts] })),
       readExperts: () =>
-        answer(process, () => {
+        ask(() => {
           const { version, layers } = engines[rank]!.map;
           const experts = layers.map((ranks) => ranks[rank]!);
           return { epoch, version, experts };
         }),
-      sendOrder: (order) => {
+      sendOrder(order) {
         if (isDistant) distantOrders += 1;
-        return answer(process, () => applyOrder(rank, order));
+        const read = () => applyOrder(rank, order);
+        return answer({ process, isDeaf, read, silence: "unknown" as const });
       },
     };
   }
@@ -294,6 +313,7 @@
       readWallMs: () => world.now() + 1_000_000,
       getSpec: () => ({
         slots: 8,
+        reportLagMs,
         experts: {
           sets: 1,
           expertsPerSet: expertCount,
@@ -324,13 +344,19 @@
     },
     getVersion: (rank) => engines[rank]!.map.version,
     isHeld: () => engines.some(({ held }) => held !== undefined),
+    isArmed: (rank) => engines[rank]!.armed !== undefined,
     getViolation: () => violation,
     freeze(rank) {
       processes[rank]!.isFrozen = true;
     },
+    stopMachine(rank) {
+      processes[rank]!.isFrozen = true;
+      processes[rank]!.isCutOff = true;
+    },
     thaw(rank) {
       const process = processes[rank]!;
       process.isFrozen = false;
+      process.isCutOff = false;
       for (const task of process.missed.splice(0)) task();
     },
     shiftDemand() {
--- a/packages/coordination/src/maps/map_versions.ts
+++ b/packages/coordination/src/maps/map_versions.ts
@@ -30,3 +30,8 @@
     return last;
   };
 }
+
+/** Returns the rank of the leader that created a version. */
+export function getLeader(version: number): number {
+  return version % rankSlots;
+}
--- a/packages/coordination/src/maps/switch_round.ts
+++ b/packages/coordination/src/maps/switch_round.ts
@@ -7,22 +7,26 @@
  *
  * - All ranks have prepared version V before the pass S is held, and S is held
  *   before any rank is armed. Nobody begins S until `go`.
- * - One version is armed for one pass only, and a leader holds no pass at its
- *   rank twice. So a late `arm`, `disarm` or `go` repeats what was decided.
- * - `go` is sent only when all ranks are armed with V for S, or when nothing can
- *   be armed for S any more because a higher version took the place of V at
- *   each rank. Both facts last: a lower version can't be prepared again, and
- *   ranks are disarmed only after one rank was seen that has lost V.
+ * - One version is armed for one pass only, and a leader holds no pass twice.
+ *   So a late `arm`, `disarm` or `go` repeats what was decided.
+ * - The leader's own rank is armed first, by whoever goes on with the switch.
+ *   So once another rank is armed, the switch can go on without its answer:
+ *   it stays armed unless a rank that does answer has lost V.
+ * - Ranks are disarmed, and `go` is sent without a switch, only after a rank
+ *   was seen to have lost V, or has been given a higher version. Both last: a
+ *   lower version can't be prepared again.
  * - That a rank has lost V counts only if it was read after some rank was seen
  *   armed with V: before, it may not have prepared V yet.
  * - A hold does not expire; whoever finds one that nobody follows ends it by the
- *   same rules.
+ *   same rules. Each hold stands for the versions of its own leader, whose rank
+ *   follows from the rank at which it is: it must not be the leader's own, so
+ *   that a machine which stands still leaves no hold that nobody can end.
  */
 import * as rankOrders from "./rank_orders.ts";
 
 export interface RoundOptions {
-  /** Rank at which this round holds the pass; the leader's own. */
-  readonly holdRank: number;
+  /** Rank of the leader that runs the round. */
+  readonly ownRank: number;
   readonly rankCount: number;
   readonly epoch: number;
   /**
@@ -40,6 +44,8 @@
    * Returns a version above `known` that no other leader uses for another map.
    */
   readonly createVersion: (known: number) => number;
+  /** Returns the rank of the leader that created a version. */
+  readonly getLeader: (version: number) => number;
 }
 
 export type RoundOutcome =
@@ -109,6 +115,8 @@
   /** Reads the pass of the own rank anew. */
   | "locating"
   | "holding"
+  /** Arms the rank of the leader that holds the pass. */
+  | "opening"
   | "arming"
   /** Reads all ranks again to find out how an unfinished switch can end. */
   | "looking"
@@ -128,9 +136,20 @@
 /** Passes that are tried to be held, each further ahead. */
 const maxHolds = 3;
 
+/** Returns the rank at which a leader holds passes; never its own but alone. */
+export function getHoldRank(leader: number, rankCount: number): number {
+  return (leader + 1) % rankCount;
+}
+
+/** Returns the leader whose holds are at a rank. */
+export function getHoldLeader(heldRank: number, rankCount: number): number {
+  return (heldRank + rankCount - 1) % rankCount;
+}
+
 /** Creates a round that has not begun. */
 export function createSwitchRound(options: RoundOptions): SwitchRound {
-  const ranks = Array.from({ length: options.rankCount }, (_, rank) => rank);
+  const { rankCount, ownRank } = options;
+  const ranks = Array.from({ length: rankCount }, (_, rank) => rank);
   const states = new Map<number, rankOrders.RankState>();
   let phase: RoundPhase = "idle";
   let call = 0;
@@ -141,7 +160,8 @@
   /** Version that was known to be armed before the last look began. */
   let armedBefore: number | undefined;
   let step = options.lastHeldStep;
-  let heldRank = options.holdRank;
+  /** Rank of the leader that holds the pass. */
+  let leaderRank = ownRank;
   let layers: rankOrders.MapLayers = [];
   let inForce: rankOrders.MapLayers = [];
   let result: RoundOutcome = { kind: "aborted", reason: "Not begun" };
@@ -187,8 +207,8 @@
   function locate(): Effects {
     phase = "locating";
     call += 1;
-    open = new Set([options.holdRank]);
-    return [{ kind: "read", call, rank: options.holdRank }];
+    open = new Set([ownRank]);
+    return [{ kind: "read", call, rank: ownRank }];
   }
 
   function getHighest(): number {
@@ -204,7 +224,7 @@
     event: Extract<RoundEvent, { readonly kind: "start" }>,
   ): Effects {
     for (const state of event.states) states.set(state.rank, state);
-    const isFree = states.size === options.rankCount &&
+    const isFree = states.size === rankCount &&
       event.states.every((state) =>
         state.epoch === options.epoch && state.isOpen &&
         state.heldStep === undefined && state.armed === undefined
@@ -226,19 +246,27 @@
     step = Math.max(furthest + lead, step + 1);
     if (step > furthest + maxAheadPasses) return abort("Few passes begin");
     const order = { kind: "hold", step } as const;
-    return orderRanks("holding", [options.holdRank], () => order);
+    const target = getHoldRank(ownRank, rankCount);
+    return orderRanks("holding", [target], () => order);
   }
 
-  function arm(): Effects {
+  function armLeader(): Effects {
+    const order = { kind: "arm", version, step } as const;
+    return orderRanks("opening", [leaderRank], () => order);
+  }
+
+  function armOthers(): Effects {
     armedBefore = version;
+    const others = ranks.filter((rank) => rank !== leaderRank);
     const order = { kind: "arm", version, step } as const;
-    return orderRanks("arming", ranks, () => order);
+    return orderRanks("arming", others, () => order);
   }
 
   function release(outcome: RoundOutcome): Effects {
     result = outcome;
     const order = { kind: "go", step } as const;
-    return orderRanks("releasing", [heldRank], () => order);
+    const target = getHoldRank(leaderRank, rankCount);
+    return orderRanks("releasing", [target], () => order);
   }
 
   /** Goes on once all calls of a phase have ended well. */
@@ -249,7 +277,9 @@
       case "locating":
         return holdPass();
       case "holding":
-        return arm();
+        return armLeader();
+      case "opening":
+        return armOthers();
       case "arming":
         return release({ kind: "switched", version, step });
       case "looking":
@@ -266,40 +296,52 @@
     }
   }
 
-  function isArmedHere(state: rankOrders.RankState): boolean {
-    return state.armed?.step === step;
+  /** Whether a rank makes the switch of the leader that holds the pass. */
+  function isArmedHere({ armed }: rankOrders.RankState): boolean {
+    return armed?.step === step &&
+      options.getLeader(armed.version) === leaderRank;
   }
 
-  /** Chooses how the switch ends from what all ranks said after the hold. */
+  /**
+   * Chooses how the switch ends from what the ranks said after the hold; the
+   * leader's own rank may be missing.
+   */
   function decide(): Effects {
-    const all = [...states.values()];
+    const found = [...states.values()];
     // Another ended the hold, or the group opened anew: nothing is armed.
-    if (all.some((state) => state.step >= step)) return abort("The pass began");
-    const armed = all.find(isArmedHere)?.armed;
-    version = armed?.version ?? version;
-    const isWhole = armed !== undefined &&
-      all.every((state) =>
-        rankOrders.isArmedFor(state, armed) ||
-        (state.armed === undefined && state.preparedVersion === armed.version)
-      );
-    if (isWhole) return arm();
-    if (armed !== undefined && armed.version !== armedBefore) {
+    if (found.some((state) => state.step >= step)) {
+      return abort("The pass began");
+    }
+    const isLeaderSeen = states.has(leaderRank);
+    const armed = found.find(isArmedHere)?.armed;
+    // A leader's rank that does not answer may be the only one that is armed.
+    if (armed === undefined) return isLeaderSeen ? replace() : readAll();
+    version = armed.version;
+    const lost = found.filter((state) =>
+      !rankOrders.isArmedFor(state, armed) &&
+      (state.armed !== undefined || state.preparedVersion !== armed.version)
+    );
+    if (lost.length === 0) return isLeaderSeen ? armLeader() : armOthers();
+    if (armed.version !== armedBefore) {
       armedBefore = armed.version;
       return readAll();
     }
-    const targets = all.filter(isArmedHere).map((state) => state.rank);
-    return orderRanks("disarming", targets, (rank) => ({
+    if (!isLeaderSeen) return readAll();
+    const targets = found.filter(isArmedHere).map((state) => state.rank);
+    return orderRanks("disarming", targets, () => ({
       kind: "disarm",
-      version: states.get(rank)?.armed?.version ?? version,
+      version,
     }));
   }
 
+  /**
+   * Gives a higher version to the ranks that are not armed. What is armed for
+   * another pass, or by another leader, has lost V, and holds of its own.
+   */
   function replace(): Effects {
-    // What is armed for another pass has lost V, and holds of its own.
-    const targets = ranks.filter((rank) => {
-      const state = states.get(rank);
-      return state?.armed === undefined || isArmedHere(state);
-    });
+    const targets = [...states.values()]
+      .filter((state) => state.armed === undefined || isArmedHere(state))
+      .map(({ rank }) => rank);
     version = options.createVersion(getHighest());
     const order = { kind: "prepare", version, layers: inForce } as const;
     return orderRanks("replacing", targets, () => order);
@@ -328,6 +370,7 @@
       case "holding":
         // A late hold is found by its report and ended by a later round.
         return holds < maxHolds ? holdPass() : abort(`Not held: ${reason}`);
+      case "opening":
       case "arming":
       case "looking":
       case "disarming":
@@ -340,6 +383,14 @@
     }
   }
 
+  function handleSilence(rank: number): Effects {
+    const isSpared = phase === "looking" && rank === leaderRank;
+    if (!isSpared) return handleFailure("a rank did not answer");
+    states.delete(rank);
+    open.delete(rank);
+    return open.size === 0 ? advance() : [];
+  }
+
   function handleState(state: rankOrders.RankState): Effects {
     if (state.epoch !== options.epoch) return abort("A new epoch");
     states.set(state.rank, state);
@@ -354,7 +405,7 @@
           return phase === "idle" ? start(event) : [];
         case "clear":
           if (phase !== "idle") return [];
-          heldRank = event.heldRank;
+          leaderRank = getHoldLeader(event.heldRank, rankCount);
           step = event.heldStep;
           inForce = event.inForce;
           return readAll();
@@ -366,11 +417,11 @@
           return handleOutcome(event.rank, event.outcome);
         case "late":
           if (event.call !== call || !open.has(event.rank)) return [];
-          return handleFailure("a rank did not answer");
+          return handleSilence(event.rank);
       }
     },
     isDone: () => phase === "done",
     getPhase: () => phase,
-    getHeldStep: () => heldRank === options.holdRank ? step : 0,
+    getHeldStep: () => leaderRank === ownRank ? step : 0,
   };
 }
--- a/packages/coordination/src/testing/ordered_group.ts
+++ b/packages/coordination/src/testing/ordered_group.ts
@@ -17,6 +17,8 @@
   readonly freeze: number;
   readonly restart: number;
   readonly newEpoch: number;
+  /** A machine stands still: its leader and its rank's answers to all. */
+  readonly standstill: number;
 }
 
 /** Unsafe changes that the checks must find. */
@@ -29,6 +31,7 @@
   /** Whether an order is sent at all; one that is not counts as done. */
   readonly isSent?: (order: rankOrders.RankOrder) => boolean;
   readonly createVersion?: (known: number) => number;
+  readonly getLeader?: (version: number) => number;
   /** True when a leader may hold one pass twice. */
   readonly forgetsHolds?: boolean;
 }
@@ -73,6 +76,8 @@
   highest: number;
   armed: rankOrders.ArmedSwitch | undefined;
   held: number | undefined;
+  /** Steps of the run for which its machine stands still. */
+  stillFor: number;
 }
 
 type Task = () => void;
@@ -90,6 +95,7 @@
 const emptyMap: rankOrders.MapLayers = [[[0]]];
 const maxSendings = 4;
 const leadPasses = 2;
+const standstillSteps = 200;
 const defaultPassShare = 0.12;
 const defaultLateTaskShare = 0.04;
 
@@ -131,6 +137,7 @@
       highest: 0,
       armed: undefined,
       held: undefined,
+      stillFor: 0,
     }));
   }
 
@@ -200,6 +207,7 @@
       readonly orderEpoch: number;
     },
   ): rankOrders.OrderReply {
+    if (ranks[index]!.stillFor > 0) return "unknown";
     if (isLikely(faults.lateOrder)) {
       lateTasks.push(() => applyOrder(index, order, orderEpoch));
       return "unknown";
@@ -228,9 +236,11 @@
         switch (effect.kind) {
           case "read":
             leader.tasks.push(() =>
-              carryOut(
-                settler.handle({ kind: "state", state: readState(index) }),
-              )
+              carryOut(settler.handle(
+                ranks[index]!.stillFor > 0
+                  ? { kind: "deadline" }
+                  : { kind: "state", state: readState(index) },
+              ))
             );
             break;
           case "send":
@@ -267,7 +277,11 @@
       case "read": {
         const { call, rank } = effect;
         leader.tasks.push(() =>
-          feedSame({ kind: "state", call, state: readState(rank) })
+          feedSame(
+            ranks[rank]!.stillFor > 0
+              ? { kind: "late", call, rank }
+              : { kind: "state", call, state: readState(rank) },
+          )
         );
         return;
       }
@@ -295,21 +309,24 @@
 
   function createRound(leader: Leader): switchRound.SwitchRound {
     return switchRound.createSwitchRound({
-      holdRank: leader.rank,
+      ownRank: leader.rank,
       rankCount: options.rankCount,
       epoch,
       computeLead: () => leadPasses,
       lastHeldStep: variant.forgetsHolds ? 0 : leader.lastHeldStep,
       createVersion: variant.createVersion ?? leader.createVersion,
+      getLeader: variant.getLeader ?? mapVersions.getLeader,
     });
   }
 
   /** Reads all ranks one after the other, then starts what is needed. */
   function startRound(leader: Leader): void {
     const states: rankOrders.RankState[] = [];
+    let next = 0;
     const readNext = () => {
-      states.push(readState(states.length));
-      if (states.length < options.rankCount) {
+      if (ranks[next]!.stillFor === 0) states.push(readState(next));
+      next += 1;
+      if (next < options.rankCount) {
         leader.tasks.push(readNext);
         return;
       }
@@ -348,6 +365,7 @@
   }
 
   function runLeader(leader: Leader): void {
+    if (ranks[leader.rank]!.stillFor > 0) return;
     if (leader.frozenFor > 0) {
       leader.frozenFor -= 1;
       return;
@@ -368,6 +386,11 @@
     task?.();
   }
 
+  function stopMachine(): void {
+    const index = Math.floor(draw() * options.rankCount);
+    ranks[index]!.stillFor = standstillSteps;
+  }
+
   openGroup();
   for (let count = 0; count < options.steps; count += 1) {
     nowMs += 1;
@@ -381,6 +404,8 @@
     } else {
       runLeader(leaders[Math.floor(draw() * leaders.length)]!);
     }
+    for (const rank of ranks) rank.stillFor = Math.max(0, rank.stillFor - 1);
+    if (isLikely(faults.standstill)) stopMachine();
     if (isLikely(faults.newEpoch)) {
       epoch += 1;
       openGroup();
