--- a/jest.config.cjs
+++ b/jest.config.cjs
@@ -2,7 +2,7 @@
   testEnvironment: "node",
   // Generous, so that a busy machine does not change the verdict.
   testTimeout: 60_000,
-  roots: ["<rootDir>/packages", "<rootDir>/scripts"],
+  roots: ["<rootDir>/packages", "<rootDir>/platform", "<rootDir>/scripts"],
   testMatch: ["**/*_test.ts"],
   transform: {
     "^.+\\.(ts|js|mjs)$": ["@swc/jest", {
