--- a/packages/anvilhinge/src/entry/routing/followed_prefix.ts
+++ b/packages/anvilhinge/src/entry/routing/followed_prefix.ts
@@ -43,6 +43,8 @@
 const retryDoublings = 3;
 /** Time between confirmations for an entry that confirms for itself or others. */
 const confirmMs = 1_000;
+/** The same after a failed call: what waits for the store waits no longer. */
+const awayConfirmMs = 100;
 /** Age above which an entry no longer relies on the hub to confirm. */
 const alonenessMs = 2_500;
 /** Time in which a change that the hub knows should have come by the watch. */
@@ -58,6 +60,7 @@
   const { scheduler, elapsed, signal } = options;
   let following = new AbortController();
   let isConfirming = true;
+  let isAway = false;
   /** Highest version that the own list or watch has covered. */
   let coveredVersion = 0;
   let objectVersion = 0;
@@ -73,6 +76,11 @@
     coveredVersion = Math.max(coveredVersion, version);
   }
 
+  function chooseConfirmMs(): number | undefined {
+    if (!isConfirming) return undefined;
+    return isAway ? awayConfirmMs : confirmMs;
+  }
+
   /** Follows anew: from a version, or from a list of all. */
   function follow(startVersion?: number): void {
     following.abort();
@@ -86,11 +94,15 @@
       signal: AbortSignal.any([signal, following.signal]),
       retryDelayMs,
       maxDoublings: retryDoublings,
-      getConfirmMs: () => isConfirming ? confirmMs : undefined,
+      getConfirmMs: chooseConfirmMs,
       collectMs,
       startVersion,
-      onUnavailable: options.onAway,
+      onUnavailable(message) {
+        isAway = true;
+        options.onAway(message);
+      },
       onList(objects, version) {
+        isAway = false;
         options.onBack();
         coveredVersion = Math.max(coveredVersion, version);
         for (const object of objects) recordVersion(object.version);
@@ -105,6 +117,7 @@
         options.onRemoved(key);
       },
       onConfirmed(asOfMs) {
+        isAway = false;
         options.onBack();
         // The instant is one of the scheduler's clock; the age is what counts.
         const ageMs = scheduler.now() - asOfMs;
--- a/packages/anvilhinge/src/entry/session/session.ts
+++ b/packages/anvilhinge/src/entry/session/session.ts
@@ -54,7 +54,9 @@
       return abortUnsent(state, message);
     }
     const observed = observe(state, "lost");
-    if (!request.isRepeatable) return [...observed, ...finishUnknown(message)];
+    if (!request.isRepeatable && options.gate !== "none") {
+      return [...observed, ...finishUnknown(message)];
+    }
     const { upstream, attemptId } = state;
     raiseRan(state.isStarted ? "yes" : "unknown");
     return [
--- a/packages/anvilhinge/src/entry/session/session_core.ts
+++ b/packages/anvilhinge/src/entry/session/session_core.ts
@@ -72,6 +72,11 @@
     state: attemptState.AttemptState,
     message: string,
   ): Effects;
+  /**
+   * Starts another attempt in the place of one that is silent; undefined, and
+   * nothing changed, if there is none to start.
+   */
+  retrySilent(state: attemptState.AttemptState): Effects | undefined;
   sendResume(state: attemptState.AttemptState): Effects;
   sendSeal(state: attemptState.AttemptState): Effects;
 }
@@ -163,7 +168,10 @@
       const reason = "The deadline passed before an upstream was found";
       return finishNotRun(reason, 0);
     }
-    const choice = options.chooseUpstream(tried);
+    return followChoice(options.chooseUpstream(tried));
+  }
+
+  function followChoice(choice: types.Choice): Effects {
     switch (choice.kind) {
       case "none":
         return finishNotRun(choice.reason, choice.retryAfterMs);
@@ -218,6 +226,13 @@
     return tried.size < maxUnsent ? startAttempt() : finishNotRun(reason, 0);
   }
 
+  /** Whether one more attempt of what ran, or may have run, is allowed. */
+  function takeRepetition(): boolean {
+    // Events that were delivered whole are not asked for again.
+    const canGoOn = cutter !== undefined || !buffer.hasDelivered();
+    return canGoOn && shared.attempts < maxAttempts && options.takeRetry();
+  }
+
   /** Goes on after an attempt that ran, or may have run, without completing. */
   function retryUncertain(
     state: attemptState.AttemptState,
@@ -226,15 +241,20 @@
     if (!request.isRepeatable) return finishUnknown(message);
     raiseRan(state.isStarted ? "yes" : "unknown");
     shared.current = undefined;
-    // Events that were delivered whole are not asked for again.
-    const canGoOn = cutter !== undefined || !buffer.hasDelivered();
-    const mayRetry = canGoOn && shared.attempts < maxAttempts &&
-      options.takeRetry();
-    return mayRetry
+    return takeRepetition()
       ? startAttempt()
       : finish({ kind: "failed", message, ran: shared.ran });
   }
 
+  function retrySilent(state: attemptState.AttemptState): Effects | undefined {
+    if (!takeRepetition()) return undefined;
+    const choice = options.chooseUpstream(tried);
+    if (choice.kind === "none") return undefined;
+    raiseRan(state.isStarted ? "yes" : "unknown");
+    shared.current = undefined;
+    return followChoice(choice);
+  }
+
   function sendResume(state: attemptState.AttemptState): Effects {
     state.phase = "sent";
     const { upstream, attemptId, nextSequence } = state;
@@ -270,6 +290,7 @@
     retryNotRun,
     retryUnsent,
     retryUncertain,
+    retrySilent,
     sendResume,
     sendSeal,
   };
--- a/packages/anvilhinge/src/entry/session/session_direct_test.ts
+++ b/packages/anvilhinge/src/entry/session/session_direct_test.ts
@@ -36,6 +36,14 @@
   return driver.list("answer").map(({ answer }) => answer.kind);
 }
 
+/** Chooses one upstream, and none after it. */
+function chooseOnce(): session.SessionOptions["chooseUpstream"] {
+  return (tried) =>
+    tried.size === 0
+      ? { kind: "chosen", upstream: sessionDriver.createUpstream(0) }
+      : { kind: "none", reason: "none is left", retryAfterMs: 0 };
+}
+
 const lost = {
   kind: "lost",
   attemptId: "a1",
@@ -85,6 +93,31 @@
   expect(repeated.list("cancel")).toHaveLength(1);
 });
 
+test.each([
+  ["no attempt is left", { maxAttempts: 1 }],
+  ["the budget is used up", { takeRetry: () => false }],
+  ["no other upstream is left", { chooseUpstream: chooseOnce() }],
+])("a silent upstream is waited for while %s", (_, options) => {
+  const driver = createDriver(safe, options);
+  driver.feed({ kind: "timer", name: "stall" });
+  expect(driver.list("dispatch")).toHaveLength(1);
+  expect(driver.list("cancel")).toEqual([]);
+  driver.feedFrame(1, 0, { body: createHead(200) });
+  driver.feedFrame(1, 1, { body: sessionDriver.createChunk("late") });
+  driver.feedFrame(1, 2, { body: sessionDriver.createEnd(3) });
+  expect(driver.readText()).toBe("late");
+  expect(driver.list("end")).toHaveLength(1);
+});
+
+test("the deadline ends what was sent as late, whatever it was", () => {
+  for (const request of [safe, unsafe]) {
+    const driver = createDriver(request);
+    driver.feed({ kind: "timer", name: "deadline" });
+    expect(listAnswers(driver)).toEqual(["deadline_exceeded"]);
+    expect(driver.list("cancel")).toHaveLength(1);
+  }
+});
+
 test("a failure of the upstream is tried elsewhere, then delivered", () => {
   const driver = createDriver(safe);
   driver.feedFrame(1, 0, { body: createHead(500) });
--- a/packages/anvilhinge/src/entry/session/session_frames.ts
+++ b/packages/anvilhinge/src/entry/session/session_frames.ts
@@ -34,7 +34,7 @@
 export function createFrameSteps(core: sessionCore.SessionCore): FrameSteps {
   const { request, options, shared, buffer, recorder, cutter } = core;
   const { observe, watchStall, finishUnknown, sendResume, sendSeal } = core;
-  const { retryNotRun, retryUnsent, retryUncertain } = core;
+  const { retryNotRun, retryUnsent, retryUncertain, retrySilent } = core;
   const maxResumes = options.maxResumes ?? defaultMaxResumes;
 
   /** Goes on after the stream of frames broke off or fell silent. */
@@ -77,13 +77,25 @@
 
   function handleStall(): Effects {
     if (shared.current?.phase !== "sent") return [];
-    if (!request.isRepeatable && options.gate === "none") return [];
+    if (options.gate === "none") return handleSilence(shared.current);
     // Slow work that must not run twice goes on as long as its agent says so.
     return request.isRepeatable
       ? handleBroken(shared.current, "The upstream sent nothing for too long")
       : sendSeal(shared.current);
   }
 
+  /** Goes elsewhere if that is possible; silence alone ends no answer. */
+  function handleSilence(state: attemptState.AttemptState): Effects {
+    const started = request.isRepeatable ? retrySilent(state) : undefined;
+    if (started === undefined) return [];
+    const { upstream, attemptId } = state;
+    return [
+      ...observe(state, "lost"),
+      { kind: "cancel", upstream, attemptId },
+      ...started,
+    ];
+  }
+
   function handleFrame(frame: frames.Frame): Effects {
     const state = shared.current;
     const isOpen = state?.phase === "sent" || state?.phase === "sealing";
