--- a/packages/anvilhinge/src/agent/routed_agent.ts
+++ b/packages/anvilhinge/src/agent/routed_agent.ts
@@ -8,6 +8,7 @@
 import type * as objectStore from "../ports/object_store.ts";
 import type * as rankEngine from "../ports/rank_engine.ts";
 import type * as scheduler from "../ports/scheduler.ts";
+import * as reload from "../settings/reload.ts";
 import type * as routedProcess from "../settings/routed_process.ts";
 import * as routedLogger from "../telemetry/routed_logger.ts";
 import * as rankAgent from "./ranks/rank_agent.ts";
@@ -33,6 +34,7 @@
 export interface RoutedAgentOptions {
   readonly settings: routedProcess.RoutedAgentSettings;
   readonly platform: AgentPlatform;
+  readonly reload: reload.SettingsReload<routedProcess.RoutedAgentSettings>;
   /** Asks for a graceful stop. */
   readonly signal: AbortSignal;
 }
@@ -50,7 +52,7 @@
 
 /** Runs the agent until it is asked to stop. */
 export async function runRoutedAgent(
-  { settings, platform, signal: asked }: RoutedAgentOptions,
+  { settings, platform, signal: asked, ...options }: RoutedAgentOptions,
 ): Promise<void> {
   const abort = new AbortController();
   const { signal } = abort;
@@ -121,6 +123,13 @@
   }
 
   log.info("Starts", { id: settings.id, upstream: settings.upstream });
+  reload.followSettings({
+    settings,
+    reload: options.reload,
+    logger: log,
+    applied: [],
+    apply: () => {},
+  });
   void followStore();
   ({ handleMessage } = rankAgent.startRankAgent({
     engine: platform.createRankEngine({
--- a/packages/anvilhinge/src/entry/control/roster_node.ts
+++ b/packages/anvilhinge/src/entry/control/roster_node.ts
@@ -41,6 +41,8 @@
 export interface RosterNode {
   handle(message: RosterMessage): void;
   setState(state: Pick<EntryDetails, "isReady" | "isLeaving">): void;
+  /** Adds addresses of entries, after the settings named new ones. */
+  addSeeds(addresses: readonly string[]): void;
   listLive(): readonly EntryMember[];
   getHub(): EntryMember;
   isHub(): boolean;
@@ -95,6 +97,7 @@
       details = { ...details, ...state };
       send(core.setDetails(details));
     },
+    addSeeds: core.addSeeds,
     listLive: core.listLive,
     getHub: core.getHub,
     isHub: core.isHub,
--- a/packages/anvilhinge/src/entry/routed_entry.ts
+++ b/packages/anvilhinge/src/entry/routed_entry.ts
@@ -14,6 +14,7 @@
 import type * as objectStore from "../ports/object_store.ts";
 import type * as scheduler from "../ports/scheduler.ts";
 import type * as upstreamDialect from "../ports/upstream_dialect.ts";
+import * as reload from "../settings/reload.ts";
 import type * as routedProcess from "../settings/routed_process.ts";
 import * as routedLogger from "../telemetry/routed_logger.ts";
 import * as metrics from "../telemetry/metrics.ts";
@@ -59,6 +60,7 @@
 export interface RoutedEntryOptions {
   readonly settings: routedProcess.RoutedEntrySettings;
   readonly platform: RoutedPlatform;
+  readonly reload: reload.SettingsReload<routedProcess.RoutedEntrySettings>;
   /** Asks for a graceful stop. */
   readonly signal: AbortSignal;
 }
@@ -87,6 +89,14 @@
   return messageKinds.includes(kind);
 }
 
+/** Addresses for datagrams of the entries that the settings name. */
+function listPeers(
+  { peers, seeds }: routedProcess.RoutedEntrySettings,
+): readonly string[] {
+  const { port } = hostPort.parseAddress(peers);
+  return seeds.map((seed) => `${hostPort.parseAddress(seed).host}:${port}`);
+}
+
 function listen(
   server: http.Server,
   address: string,
@@ -100,7 +110,7 @@
 
 /** Runs the entry until it is asked to stop; resolves when it has stopped. */
 export async function runRoutedEntry(
-  { settings, platform, signal }: RoutedEntryOptions,
+  { settings, platform, signal, ...options }: RoutedEntryOptions,
 ): Promise<void> {
   const abort = new AbortController();
   const clock = systemScheduler.createSystemScheduler();
@@ -144,7 +154,6 @@
       if (isMessage(message)) handleMessage(message, from);
     },
   });
-  const { port: peersPort } = hostPort.parseAddress(settings.peers);
   const roster = rosterNode.startRosterNode({
     self: {
       id: settings.id,
@@ -158,9 +167,7 @@
         isLeaving: false,
       },
     },
-    seeds: settings.seeds.map((address) =>
-      `${hostPort.parseAddress(address).host}:${peersPort}`
-    ),
+    seeds: listPeers(settings),
     scheduler: clock,
     elapsed,
     readNews: () => view.readNews(),
@@ -284,6 +291,13 @@
         return policy.handleMessage(message, from);
     }
   };
+  reload.followSettings({
+    settings,
+    reload: options.reload,
+    logger: log,
+    applied: ["seeds"],
+    apply: (changed) => roster.addSeeds(listPeers(changed)),
+  });
   await Promise.all([
     listen(readiness, settings.readiness),
     listen(directory, settings.directory),
--- a/packages/anvilhinge/src/telemetry/logger.ts
+++ b/packages/anvilhinge/src/telemetry/logger.ts
@@ -21,6 +21,11 @@
   warnOnce(cause: string, message: string): void;
 }
 
+/** A logger whose level can change while the process runs. */
+export interface LeveledLogger extends Logger {
+  setLevel(level: process.LogLevel): void;
+}
+
 export interface LoggerOptions {
   readonly part: Part;
   readonly level: process.LogLevel;
@@ -41,7 +46,7 @@
 export function createLogger(
   { part, level, stream = globalThis.process.stdout, takeOrdinary }:
     LoggerOptions,
-): Logger {
+): LeveledLogger {
   const log = bunyan.createLogger({
     name: "anvilhinge",
     level,
@@ -51,6 +56,7 @@
   const prefix = `[${part}]`;
   const warnedCauses = new Set<string>();
   return {
+    setLevel: (next) => log.level(next),
     debug: (message, fields = {}) => log.debug(fields, `${prefix} ${message}`),
     info: (message, fields = {}) => log.info(fields, `${prefix} ${message}`),
     warn: (message, fields = {}) => log.warn(fields, `${prefix} ${message}`),
--- a/packages/anvilhinge/src/telemetry/routed_logger.ts
+++ b/packages/anvilhinge/src/telemetry/routed_logger.ts
@@ -10,7 +10,7 @@
   readonly clock: clock.Clock;
 }
 
-export interface RoutedLogger extends logger.Logger {
+export interface RoutedLogger extends logger.LeveledLogger {
   /** Lines that the reader did not take in time. */
   countDropped(): number;
 }
