--- a/packages/coordination/src/dispatch/work_hub.ts
+++ b/packages/coordination/src/dispatch/work_hub.ts
@@ -61,6 +61,8 @@
   readonly limit: number;
   /** Places that become free in a second. */
   readonly freedPerSecond: number;
+  /** Length of the last pass that an entry saw, in milliseconds; 0 = none. */
+  readonly passMs: number;
 }
 
 interface Waiting extends work.WaitingWork {
@@ -94,6 +96,10 @@
   /** Part of a pass that one request cost at worst, and when it was seen. */
   worstCostMs: number;
   worstAtMs: number;
+  /** Since when all passes that were told of were too long. */
+  longSinceMs: number | undefined;
+  /** Length of the pass that was told of last; 0 = none yet. */
+  lastPassMs: number;
   /** Moving rate at which places become free. */
   freedPerSecond: number;
   freed: number;
@@ -112,8 +118,10 @@
 const minMeasuredShare = 0.2;
 /** Part of the slots that is used at least. */
 const minLimitShare = 0.65;
-/** Passes over the target by this factor waited for something else. */
+/** Passes over the target by this factor may have waited for a switch. */
 const maxPassOverTarget = 1.25;
+/** Time after which such passes are long by themselves: a rank is slow. */
+const longPassesMs = 1_000;
 const millisecondsPerSecond = 1_000;
 const minRetryMs = 100;
 const maxRetryMs = 2_500;
@@ -178,14 +186,33 @@
     return pool.worstCostMs * 2 ** (-ageMs / costHalfLifeMs);
   }
 
+  /** Whether a pass says what requests cost, and not what it waited for. */
+  function isTelling(pool: Pool, { passMs, spec }: {
+    readonly passMs: number;
+    readonly spec: work.PoolSpec;
+  }): boolean {
+    if (passMs <= maxPassOverTarget * spec.targetPassMs) {
+      pool.longSinceMs = undefined;
+      return true;
+    }
+    pool.longSinceMs ??= clock.now();
+    return clock.now() - pool.longSinceMs >= longPassesMs;
+  }
+
   /** Learns from a pass what one request costs at worst. */
   function recordPass({ pool: name, passMs }: work.PassTime): void {
     const pool = pools.get(name);
-    if (pool?.spec === undefined) return;
-    if (passMs > maxPassOverTarget * pool.spec.targetPassMs) return;
+    const spec = pool?.spec;
+    if (pool === undefined || spec === undefined) return;
+    pool.lastPassMs = passMs;
+    if (!isTelling(pool, { passMs, spec })) return;
     const running = countTakenOfPool(pool);
     if (running < minMeasuredShare * countSlots(pool)) return;
-    const cost = Math.max(0, passMs - pool.spec.basePassMs) / running;
+    // A higher cost would not lower the limit, only make it last.
+    const highest = (spec.targetPassMs - spec.basePassMs) /
+      (minLimitShare * countSlots(pool));
+    const found = Math.max(0, passMs - spec.basePassMs) / running;
+    const cost = Math.min(highest, found);
     if (cost <= readCost(pool)) return;
     pool.worstCostMs = cost;
     pool.worstAtMs = clock.now();
@@ -417,6 +444,8 @@
           spec: specs.find(({ pool }) => pool === place.pool),
           worstCostMs: previous?.worstCostMs ?? 0,
           worstAtMs: previous?.worstAtMs ?? 0,
+          longSinceMs: previous?.longSinceMs,
+          lastPassMs: previous?.lastPassMs ?? 0,
           freedPerSecond: previous?.freedPerSecond ?? 0,
           freed: previous?.freed ?? 0,
           measuredAtMs: previous?.measuredAtMs ?? clock.now(),
@@ -449,6 +478,7 @@
         slots: countSlots(pool),
         limit: computeLimit(pool),
         freedPerSecond: pool.freedPerSecond,
+        passMs: Math.round(pool.lastPassMs),
       })),
   };
 }
--- a/packages/coordination/src/dispatch/work_hub_test.ts
+++ b/packages/coordination/src/dispatch/work_hub_test.ts
@@ -194,3 +194,63 @@
   expect(hub.receive(createState(2, { waiting })).get("e1")?.grants)
     .toHaveLength(1);
 });
+
+describe("the limit of a pool whose passes are timed", () => {
+  const slotsPerRank = 20;
+  const running = Array.from({ length: 30 }, (_, n) => ({
+    key: `r${n}`,
+    upstreamId: n % 2 === 0 ? "u1" : "u2",
+    workspace: "w",
+    promptTokens: 1,
+  }));
+
+  function createTimedHub() {
+    const manual = clock.createManualClock();
+    const hub = workHub.createWorkHub({ clock: manual, random: () => 0.5 });
+    hub.setPlaces(
+      ["u1", "u2"].map((id) => ({
+        id,
+        pool: "p",
+        failureDomain: "a",
+        slots: slotsPerRank,
+      })),
+      [{ pool: "p", basePassMs: 40, targetPassMs: 110 }],
+    );
+    let sequence = 0;
+    /** Tells of passes for a while; returns the limit after it. */
+    function observe(passMs: number, forMs: number): number {
+      for (let spentMs = 0; spentMs < forMs; spentMs += 250) {
+        sequence += 1;
+        hub.receive(createState(sequence, {
+          running,
+          passes: [{ pool: "p", passMs }],
+        }));
+        manual.advance(250);
+      }
+      return hub.describe()[0]!.limit;
+    }
+    return { observe };
+  }
+
+  it("falls while passes are too long because ranks turned slow", () => {
+    const { observe } = createTimedHub();
+    const before = observe(100, 1_000);
+    const slow = observe(200, 6_000);
+    expect(slow).toBeLessThan(before);
+    expect(slow).toBe(0.65 * 2 * slotsPerRank);
+  });
+
+  it("is soon what it was when they are quick again", () => {
+    const { observe } = createTimedHub();
+    const before = observe(100, 1_000);
+    observe(400, 6_000);
+    expect(observe(80, 5_000)).toBeGreaterThanOrEqual(before);
+  });
+
+  it("does not fall for passes that were held for a moment", () => {
+    const { observe } = createTimedHub();
+    const before = observe(100, 1_000);
+    observe(900, 500);
+    expect(observe(100, 250)).toBeGreaterThanOrEqual(before);
+  });
+});
--- a/scripts/build_platform.cjs
+++ b/scripts/build_platform.cjs
@@ -23,5 +23,8 @@
   logLevel: "warning",
 });
 const runtime = require.resolve("platform-runtime/bin/node");
-fs.copyFileSync(runtime, path.join(target, "node"));
-fs.chmodSync(path.join(target, "node"), 0o755);
+// Renamed into place: a runtime that is in use can't be written over.
+const copied = path.join(target, "node.new");
+fs.copyFileSync(runtime, copied);
+fs.chmodSync(copied, 0o755);
+fs.renameSync(copied, path.join(target, "node"));
