--- a/packages/anvilhinge/src/entry/session/runner.ts
+++ b/packages/anvilhinge/src/entry/session/runner.ts
@@ -61,6 +61,7 @@
 /** Runs the session until it is done; resolves then. */
 export function runSession(options: RunOptions): Promise<void> {
   const { request, client } = options;
+  const peer = options.agents === undefined ? "upstream" : "agent";
   /** Streams by attempt id; a resumed stream replaces the one before it. */
   const streams = new Map<string, AbortController>();
   const events: session.SessionEvent[] = [];
@@ -124,8 +125,8 @@
             attemptId,
             sent: end.kind === "closed" || end.sent,
             message: end.kind === "closed"
-              ? "The agent closed the stream early"
-              : `Contact with the agent broke: ${end.message}`,
+              ? `The ${peer} closed the stream early`
+              : `Contact with the ${peer} broke: ${end.message}`,
           });
         },
       };
--- a/packages/anvilhinge/src/explain/story.ts
+++ b/packages/anvilhinge/src/explain/story.ts
@@ -78,9 +78,9 @@
     ["route", fields["route"]],
     ["workspace", fields["workspace"]],
     ["priority", fields["priority"]],
-    ["time left, ms", fields["leftMs"]],
+    ["time left in ms", fields["leftMs"]],
     ["settings", fields["settingsVersion"]],
-    ["age of the view, ms", fields["viewAgeMs"]],
+    ["age of the view in ms", fields["viewAgeMs"]],
   ].filter(([, value]) => value !== undefined && value !== "");
   const details = known.map(([name, value]) => `${name} ${value}`).join(", ");
   return `request ${fields["requestId"]}: ${details}`;
@@ -105,7 +105,10 @@
   return `  answer ${status}${after}${first}${why}${waited}`;
 }
 
-/** Lists what the same process noted, and what any noted of the upstreams. */
+/**
+ * Lists what the same process noted, and what any noted of the upstreams, of
+ * their group and of the load by which the hub decides.
+ */
 function listAround(
   own: logLine.LogLine,
   { all, span, attempts }: {
@@ -119,6 +122,7 @@
     atMs >= span.startMs - beforeMs && atMs <= span.endMs + afterMs &&
     !ordinaryMessages.includes(message) &&
     (hostname === own.hostname || fields["group"] !== undefined ||
+      isLoad(fields["pools"]) ||
       upstreams.has(String(fields["upstream"])))
   );
   const shown = near.slice(0, maxAround).map(({ atMs, ...line }) =>
@@ -130,6 +134,11 @@
   return left === 0 ? shown : [...shown, `  and ${left} lines more`];
 }
 
+/** Whether a line tells the load that some hub knows. */
+function isLoad(pools: unknown): boolean {
+  return Array.isArray(pools) && pools.length > 0;
+}
+
 function formatTime(atMs: number): string {
   return new Date(atMs).toISOString();
 }
