--- a/packages/anvilhinge/src/dev/system.ts
+++ b/packages/anvilhinge/src/dev/system.ts
@@ -19,12 +19,6 @@
 import * as objectApi from "../stand_ins/object_api.ts";
 import * as upstreams from "./upstreams.ts";
 
-/** Where processes would reach the platform; unused within one process. */
-export interface PlatformAddresses {
-  readonly objectStore: string;
-  readonly instanceList: string;
-}
-
 export interface SystemOptions {
   readonly objects: readonly objects.SettingsObject[];
   readonly scheduler: scheduler.Scheduler;
@@ -72,7 +66,7 @@
 const defaultStepMs = 20;
 const defaultTtlMs = 1_000;
 const domainCount = 3;
-const localPlatform: PlatformAddresses = {
+const localPlatform: upstreams.PlatformAddresses = {
   objectStore: "http://127.0.0.1:1",
   instanceList: "http://127.0.0.1:1",
 };
--- a/packages/anvilhinge/src/dev/upstreams.ts
+++ b/packages/anvilhinge/src/dev/upstreams.ts
@@ -10,7 +10,12 @@
 import * as modelEngineHttp from "../stand_ins/model_engine_http.ts";
 import * as plainService from "../stand_ins/plain_service.ts";
 import * as plainServiceHttp from "../stand_ins/plain_service_http.ts";
-import type * as system from "./system.ts";
+
+/** Where processes would reach the platform; unused within one process. */
+export interface PlatformAddresses {
+  readonly objectStore: string;
+  readonly instanceList: string;
+}
 
 /** A group that runs: its agents, its stand-in and the switch for faults. */
 export interface RunningGroup {
@@ -36,7 +41,7 @@
   readonly logLevel: process.LogLevel;
   readonly logStream?: NodeJS.WritableStream;
   readonly spanProcessors?: agent.AgentAdapters["spanProcessors"];
-  readonly platform: system.PlatformAddresses;
+  readonly platform: PlatformAddresses;
   readonly store: objectStore.ObjectStore;
 }
 
