--- a/packages/coordination/src/dispatch/work_client.ts
+++ b/packages/coordination/src/dispatch/work_client.ts
@@ -131,7 +131,11 @@
     const place = choosePlace(asked);
     if (place === undefined) return undefined;
     waiting.delete(key);
-    return { kind: "granted", key, upstreamId: place.id, by: "share" };
+    const { workspace, promptTokens } = asked;
+    const upstreamId = place.id;
+    // It counts from now on: others of the same tick must see it.
+    running.set(key, { key, upstreamId, workspace, promptTokens });
+    return { kind: "granted", key, upstreamId, by: "share" };
   }
 
   function decideAlone(
