--- a/packages/anvilhinge/src/adapters/engine_http.ts
+++ b/packages/anvilhinge/src/adapters/engine_http.ts
@@ -7,18 +7,13 @@
 import type * as engine from "../ports/engine.ts";
 import type * as scheduler from "../ports/scheduler.ts";
 import * as httpClient from "./http_client.ts";
+import * as httpHeaders from "./http_headers.ts";
 
-/** Headers that concern one connection and are not passed on. */
-const connectionHeaders = new Set([
-  "connection",
+/** Headers of the call to the agent that the engine does not get. */
+const droppedHeaders = new Set([
+  ...httpHeaders.connectionHeaders,
   "expect",
   "host",
-  "keep-alive",
-  "proxy-connection",
-  "te",
-  "trailer",
-  "transfer-encoding",
-  "upgrade",
 ]);
 
 const loadTimeoutMs = 1_000;
@@ -133,14 +128,14 @@
 /** The length of the body is set by the client library. */
 function isPassed(name: string): boolean {
   const lower = name.toLowerCase();
-  return lower !== "content-length" && !connectionHeaders.has(lower);
+  return lower !== "content-length" && !droppedHeaders.has(lower);
 }
 
 function convertHeaders(
   headers: Readonly<Record<string, string | string[] | undefined>>,
 ): [string, string][] {
   return Object.entries(headers)
-    .filter(([name]) => !connectionHeaders.has(name))
+    .filter(([name]) => !droppedHeaders.has(name))
     .flatMap(([name, value = []]) =>
       [value].flat().map((one): [string, string] => [name, one])
     );
--- a/packages/anvilhinge/src/adapters/http_headers.ts
+++ b/packages/anvilhinge/src/adapters/http_headers.ts
@@ -3,7 +3,7 @@
 export type HeaderPair = readonly [name: string, value: string];
 
 /** Headers of one connection (RFC 9110, section 7.6.1). */
-const connectionHeaders: ReadonlySet<string> = new Set([
+export const connectionHeaders: ReadonlySet<string> = new Set([
   "connection",
   "keep-alive",
   "proxy-connection",
--- a/packages/anvilhinge/src/agent/mod.ts
+++ b/packages/anvilhinge/src/agent/mod.ts
@@ -4,6 +4,7 @@
 import * as awilix from "awilix";
 import * as abortSignal from "../adapters/abort_signal.ts";
 import * as connectServer from "../adapters/connect_server.ts";
+import * as delay from "../adapters/delay.ts";
 import * as engineHttp from "../adapters/engine_http.ts";
 import * as engineOrdersHttp from "../adapters/engine_orders_http.ts";
 import * as objectStoreHttp from "../adapters/object_store_http.ts";
@@ -225,10 +226,6 @@
     `Serves rank ${settings.rank} of group ${settings.group} on ${address}`,
   );
 
-  function wait(delayMs: number): Promise<void> {
-    return new Promise((resolve) => scheduler.schedule(resolve, { delayMs }));
-  }
-
   /** Whether an entry still reads an answer, or has yet to come for one. */
   function hasReaders(): boolean {
     return parts.service.countStreams() > 0 || attempts.countUntaken() > 0;
@@ -239,10 +236,12 @@
     async stop() {
       attempts.stop();
       logger.info(`Finishes ${attempts.countRunning()} attempts`);
-      while (attempts.countRunning() > 0) await wait(drainPollMs);
+      while (attempts.countRunning() > 0) {
+        await delay.waitFor(scheduler, { delayMs: drainPollMs });
+      }
       const takeByMs = scheduler.now() + takeWaitMs;
       while (hasReaders() && scheduler.now() < takeByMs) {
-        await wait(drainPollMs);
+        await delay.waitFor(scheduler, { delayMs: drainPollMs });
       }
       await parts.tracing.stop();
       abort.abort();
--- a/packages/anvilhinge/src/agent/ranks/distant_engine.ts
+++ b/packages/anvilhinge/src/agent/ranks/distant_engine.ts
@@ -1,4 +1,5 @@
 /** An engine beside which another agent runs, or should run. */
+import * as delay from "../../adapters/delay.ts";
 import type * as rankEngine from "../../ports/rank_engine.ts";
 import type * as scheduler from "../../ports/scheduler.ts";
 
@@ -17,11 +18,8 @@
 export function createDistantEngine(
   { engine, scheduler, reportLagMs }: DistantEngineOptions,
 ): rankEngine.RankEngine {
-  function waitForLag(): Promise<void> {
-    return new Promise((resolve) =>
-      scheduler.schedule(resolve, { delayMs: reportLagMs })
-    );
-  }
+  const waitForLag = (): Promise<void> =>
+    delay.waitFor(scheduler, { delayMs: reportLagMs });
 
   return {
     async readReport() {
--- a/packages/anvilhinge/src/agent/ranks/map_duty.ts
+++ b/packages/anvilhinge/src/agent/ranks/map_duty.ts
@@ -315,17 +315,6 @@
     }
   }
 
-  /** Skew of the map in force under the present demand, as a mean of layers. */
-  function computeMeanSkew(
-    map: GroupMap,
-    { shares }: countsWindow.Popularity,
-  ): number {
-    const skews = map.layers.map((ranks, layer) =>
-      computeLayerSkew(ranks, shares[layer] ?? [])
-    );
-    return skews.reduce((sum, skew) => sum + skew, 0) / skews.length;
-  }
-
   /**
    * Passes that arming takes: a nearer pass would have to wait for the last
    * rank, a later one keeps the old map in use for longer. Answers that get
@@ -396,7 +385,9 @@
       }
       const occupancy = computeOccupancy(collected, options.slots);
       const allowedSkew = idleSkew + occupancy * (busySkew - idleSkew);
-      if (computeMeanSkew(map, popularity) <= allowedSkew) return;
+      const { shares } = popularity;
+      const skew = boundedPlanner.measureSkew({ map, shares });
+      if (skew <= allowedSkew) return;
       return switchMap(own, { map, popularity, allowedSkew });
     },
     rest() {
@@ -474,18 +465,6 @@
   return Math.min(1, running / Math.max(1, slots * collected.length));
 }
 
-function computeLayerSkew(
-  ranks: readonly (readonly number[])[],
-  shares: readonly number[],
-): number {
-  const holders = shares.map(() => 0);
-  for (const expert of ranks.flat()) holders[expert]! += 1;
-  const loads = ranks.map((held) =>
-    held.reduce((sum, expert) => sum + shares[expert]! / holders[expert]!, 0)
-  );
-  return Math.max(...loads) * ranks.length;
-}
-
 function trimDigits(value: number): number {
   return Math.round(value * 100) / 100;
 }
--- a/packages/anvilhinge/src/agent/ranks/rank_agent.ts
+++ b/packages/anvilhinge/src/agent/ranks/rank_agent.ts
@@ -5,6 +5,7 @@
  */
 import * as mapVersions from "@anvilhinge/coordination/maps/map_versions";
 import type * as datagrams from "../../adapters/datagrams.ts";
+import * as delay from "../../adapters/delay.ts";
 import type * as rankEngine from "../../ports/rank_engine.ts";
 import type * as scheduler from "../../ports/scheduler.ts";
 import type * as logger from "../../telemetry/logger.ts";
@@ -108,12 +109,6 @@
   let turns = 0;
   let isLeading = false;
 
-  function wait(delayMs: number): Promise<void> {
-    return new Promise((resolve) =>
-      scheduler.schedule(resolve, { delayMs, signal })
-    );
-  }
-
   function sendStatus(status: rankPeers.RankStatus): void {
     const message: StatusMessage = { kind: "status", status };
     const interval = peers.isCandidate() ? candidateTurns : helloTurns;
@@ -177,7 +172,7 @@
       if (isLeading && status !== undefined && spec !== undefined) {
         await getDuty(status, spec).takeTurn(status);
       }
-      await wait(leaderTurnMs);
+      await delay.waitFor(scheduler, { delayMs: leaderTurnMs, signal });
     }
   }
 
@@ -208,7 +203,7 @@
   async function takeTurns(): Promise<void> {
     while (!signal.aborted) {
       await takeTurn();
-      await wait(statusTurnMs);
+      await delay.waitFor(scheduler, { delayMs: statusTurnMs, signal });
     }
   }
 
--- a/packages/anvilhinge/src/agent/routed_agent.ts
+++ b/packages/anvilhinge/src/agent/routed_agent.ts
@@ -3,11 +3,11 @@
 import * as abortSignal from "../adapters/abort_signal.ts";
 import * as hostPort from "../adapters/address.ts";
 import * as datagrams from "../adapters/datagrams.ts";
+import * as delay from "../adapters/delay.ts";
 import * as systemScheduler from "../adapters/system_scheduler.ts";
 import type * as routingView from "../entry/routing/routing_view.ts";
 import type * as objectStore from "../ports/object_store.ts";
 import type * as rankEngine from "../ports/rank_engine.ts";
-import type * as scheduler from "../ports/scheduler.ts";
 import * as reload from "../settings/reload.ts";
 import type * as routedProcess from "../settings/routed_process.ts";
 import * as routedLogger from "../telemetry/routed_logger.ts";
@@ -15,20 +15,11 @@
 
 /** Adapters between the agent and one platform. */
 export interface AgentPlatform {
-  createStore(options: {
-    readonly address: string;
-    readonly scheduler: scheduler.Scheduler;
-    readonly signal: AbortSignal;
-  }): objectStore.ObjectStore;
+  createStore(options: objectStore.StoreOptions): objectStore.ObjectStore;
   readonly source: routingView.RoutingSource;
-  createRankEngine(options: {
-    readonly address: string;
-    /** Longest wait for an answer to a read, in milliseconds. */
-    readonly readTimeoutMs: number;
-    /** The same for an order. */
-    readonly orderTimeoutMs: number;
-    readonly signal: AbortSignal;
-  }): rankEngine.RankEngine;
+  createRankEngine(
+    options: rankEngine.RankEngineOptions,
+  ): rankEngine.RankEngine;
 }
 
 export interface RoutedAgentOptions {
@@ -80,12 +71,6 @@
     },
   });
 
-  function wait(delayMs: number): Promise<void> {
-    return new Promise((resolve) =>
-      clock.schedule(resolve, { delayMs, signal })
-    );
-  }
-
   /** Learns the group's engines and where the other agents listen. */
   async function readStore(): Promise<boolean> {
     const [routingList, upstreams] = await Promise.all([
@@ -118,7 +103,10 @@
   async function followStore(): Promise<void> {
     while (!signal.aborted) {
       const isKnown = await readStore();
-      await wait(isKnown ? storeRefreshMs : storeRetryMs);
+      await delay.waitFor(clock, {
+        delayMs: isKnown ? storeRefreshMs : storeRetryMs,
+        signal,
+      });
     }
   }
 
--- a/packages/anvilhinge/src/entry/mod.ts
+++ b/packages/anvilhinge/src/entry/mod.ts
@@ -7,6 +7,7 @@
 import Koa from "koa";
 import * as abortSignal from "../adapters/abort_signal.ts";
 import * as connectServer from "../adapters/connect_server.ts";
+import * as delay from "../adapters/delay.ts";
 import * as httpServer from "../adapters/http_server.ts";
 import * as instanceListHttp from "../adapters/instance_list_http.ts";
 import * as objectStoreHttp from "../adapters/object_store_http.ts";
@@ -322,10 +323,6 @@
   parts.duties.start(controlAddress);
   logger.info(`Serves callers on ${address} and agents on ${controlAddress}`);
 
-  function wait(delayMs: number): Promise<void> {
-    return new Promise((resolve) => scheduler.schedule(resolve, { delayMs }));
-  }
-
   return {
     address,
     controlAddress,
@@ -334,13 +331,15 @@
       node?.publishLeaving();
       logger.info("Stops being handed out");
       await parts.duties.stop();
-      await wait(settings.addressAnswerTtlMs);
+      await delay.waitFor(scheduler, { delayMs: settings.addressAnswerTtlMs });
       state.isClosed = true;
       logger.info(`Finishes ${state.openRequests} requests`);
-      while (state.openRequests > 0) await wait(drainPollMs);
+      while (state.openRequests > 0) {
+        await delay.waitFor(scheduler, { delayMs: drainPollMs });
+      }
       const recordByMs = scheduler.now() + recordWaitMs;
       while (parts.claims.countWaiting() > 0 && scheduler.now() < recordByMs) {
-        await wait(drainPollMs);
+        await delay.waitFor(scheduler, { delayMs: drainPollMs });
       }
       await parts.tracing.stop();
       abort.abort();
--- a/packages/anvilhinge/src/entry/routed_entry.ts
+++ b/packages/anvilhinge/src/entry/routed_entry.ts
@@ -5,14 +5,15 @@
 import * as nodeCrypto from "node:crypto";
 import * as http from "node:http";
 import * as random from "@anvilhinge/coordination/random";
+import * as abortSignal from "../adapters/abort_signal.ts";
 import * as hostPort from "../adapters/address.ts";
 import * as datagrams from "../adapters/datagrams.ts";
+import * as delay from "../adapters/delay.ts";
 import * as directClient from "../adapters/direct_client.ts";
 import * as elapsedClock from "../adapters/elapsed_clock.ts";
 import * as systemScheduler from "../adapters/system_scheduler.ts";
 import type * as callerDialect from "../ports/caller_dialect.ts";
 import type * as objectStore from "../ports/object_store.ts";
-import type * as scheduler from "../ports/scheduler.ts";
 import type * as upstreamDialect from "../ports/upstream_dialect.ts";
 import * as reload from "../settings/reload.ts";
 import type * as routedProcess from "../settings/routed_process.ts";
@@ -43,13 +44,7 @@
 
 /** Adapters between the entry and one platform. */
 export interface RoutedPlatform {
-  createStore(options: {
-    readonly address: string;
-    readonly scheduler: scheduler.Scheduler;
-    readonly signal: AbortSignal;
-    /** Called once for each call with how it went. */
-    readonly onCall?: (call: string, outcome: "answered" | "failed") => void;
-  }): objectStore.ObjectStore;
+  createStore(options: objectStore.StoreOptions): objectStore.ObjectStore;
   readonly source: routingView.RoutingSource;
   readonly callers: callerDialect.CallerDialect;
   readonly upstreams: upstreamDialect.UpstreamDialect;
@@ -251,10 +246,6 @@
   const shown = routedMetrics.createMetricsServer(registry);
   const directory = http.createServer(platform.createDirectoryHandler(points));
 
-  function wait(delayMs: number): Promise<void> {
-    return new Promise((resolve) => clock.schedule(resolve, { delayMs }));
-  }
-
   async function stop(): Promise<void> {
     const askedAtMs = clock.now();
     const endAtMs = askedAtMs + settings.bounds.stopMs - stopSlackMs;
@@ -265,13 +256,13 @@
       addressKeepFactor * addressTtlMs,
       settings.bounds.stopMs / 2,
     );
-    await wait(keptMs);
+    await delay.waitFor(clock, { delayMs: keptMs });
     state.isClosed = true;
     callers.close();
     callers.closeIdleConnections();
     log.info("Takes no new requests", { open: state.openRequests });
     while (state.openRequests > 0 && clock.now() < endAtMs) {
-      await wait(drainPollMs);
+      await delay.waitFor(clock, { delayMs: drainPollMs });
     }
     log.info("Stopped", { open: state.openRequests });
     abort.abort();
@@ -308,9 +299,6 @@
   isReady = true;
   roster.setState({ isReady, isLeaving: false });
   log.info("Serves callers", { address: settings.callers });
-  await new Promise<void>((resolve) => {
-    if (signal.aborted) resolve();
-    else signal.addEventListener("abort", () => resolve(), { once: true });
-  });
+  await abortSignal.waitForAbort(signal);
   await stop();
 }
--- a/packages/anvilhinge/src/ports/object_store.ts
+++ b/packages/anvilhinge/src/ports/object_store.ts
@@ -4,6 +4,7 @@
  * rise over the whole store, so a later write of any key has a higher version.
  */
 import type * as versionedStore from "@anvilhinge/coordination/versioned_store";
+import type * as scheduler from "./scheduler.ts";
 
 export type StoredObject = versionedStore.StoredObject;
 export type Unavailable = versionedStore.Unavailable;
@@ -64,6 +65,17 @@
   readonly allowsStale?: boolean;
 }
 
+/** What a client of a platform's store needs. */
+export interface StoreOptions {
+  /** Address of the store as `host:port`. */
+  readonly address: string;
+  readonly scheduler: scheduler.Scheduler;
+  /** Aborts all calls. */
+  readonly signal: AbortSignal;
+  /** Called once for each call with how it went. */
+  readonly onCall?: (call: string, outcome: "answered" | "failed") => void;
+}
+
 /** Client of the object API. No method throws for a fault of the store. */
 export interface ObjectStore extends versionedStore.VersionedStore {
   list(prefix: string, options?: ListOptions): Promise<ListOutcome>;
--- a/packages/anvilhinge/src/ports/rank_engine.ts
+++ b/packages/anvilhinge/src/ports/rank_engine.ts
@@ -40,3 +40,14 @@
     epoch: number,
   ): Promise<rankOrders.OrderReply>;
 }
+
+/** What a client of one rank's engine needs. */
+export interface RankEngineOptions {
+  /** Address of the engine as `host:port`. */
+  readonly address: string;
+  /** Longest wait for an answer to a read, in milliseconds. */
+  readonly readTimeoutMs: number;
+  /** The same for an order. */
+  readonly orderTimeoutMs: number;
+  readonly signal: AbortSignal;
+}
--- a/packages/coordination/src/maps/bounded_planner.ts
+++ b/packages/coordination/src/maps/bounded_planner.ts
@@ -93,6 +93,11 @@
   return total === 0 ? 1 : Math.max(...loads) * loads.length / total;
 }
 
+function computeMeanSkew(layers: readonly Layer[]): number {
+  const sum = layers.reduce((found, layer) => found + computeSkew(layer), 0);
+  return sum / Math.max(1, layers.length);
+}
+
 /** Changes the placement; returns the ranks whose load changed. */
 function applyMove(layer: Layer, move: Move): readonly number[] {
   const { expert, from, to, removed } = move;
@@ -268,10 +273,7 @@
   }
 
   plan(): BoundedPlan {
-    const count = Math.max(1, this.#layers.length);
-    const measure = () =>
-      this.#layers.reduce((sum, layer) => sum + computeSkew(layer), 0) / count;
-    const skewBefore = measure();
+    const skewBefore = computeMeanSkew(this.#layers);
     while (true) {
       const open = this.#layers.filter(({ isSettled }) => !isSettled);
       const [first, ...rest] = open;
@@ -288,7 +290,7 @@
       copies: this.#addedOfRank.reduce((sum, added) => sum + added, 0),
       copiesOfSlowest: Math.max(0, ...this.#addedOfRank),
       skewBefore,
-      skewAfter: measure(),
+      skewAfter: computeMeanSkew(this.#layers),
     };
   }
 }
@@ -297,3 +299,12 @@
 export function planBounded(options: BoundedPlanOptions): BoundedPlan {
   return new Planner(options).plan();
 }
+
+/** Returns the skew of a map under some demand, as a mean over its layers. */
+export function measureSkew(
+  { map, shares }: Pick<BoundedPlanOptions, "map" | "shares">,
+): number {
+  return computeMeanSkew(
+    map.layers.map((ranks, index) => createLayer(ranks, shares[index] ?? [])),
+  );
+}
