--- a/packages/anvilhinge/src/entry/control/store_follower.ts
+++ b/packages/anvilhinge/src/entry/control/store_follower.ts
@@ -53,28 +53,45 @@
 
 const defaultRetryDelayMs = 250;
 
-/** Lists the prefix once; tries again until it succeeds. */
-export function listPrefix(options: ListOptions): void {
+interface Retries {
+  /** Tells of a failure and runs the task later, each time with more delay. */
+  schedule(message: string, task: () => void): void;
+  /** Begins anew with the shortest delay. */
+  reset(): void;
+}
+
+function createRetries(options: ListOptions): Retries {
   let failures = 0;
+  return {
+    schedule(message, task) {
+      options.onUnavailable?.(message);
+      const delayMs = backoff.computeRetryDelayMs({
+        failures,
+        baseMs: options.retryDelayMs ?? defaultRetryDelayMs,
+        random: options.random,
+        maxDoublings: options.maxDoublings,
+      });
+      failures += 1;
+      const { signal } = options;
+      options.scheduler.schedule(task, { delayMs, signal });
+    },
+    reset() {
+      failures = 0;
+    },
+  };
+}
 
-  function retryLater(message: string): void {
-    options.onUnavailable?.(message);
-    const delayMs = backoff.computeRetryDelayMs({
-      failures,
-      baseMs: options.retryDelayMs ?? defaultRetryDelayMs,
-      random: options.random,
-      maxDoublings: options.maxDoublings,
-    });
-    failures += 1;
-    const { signal } = options;
-    options.scheduler.schedule(() => void list(), { delayMs, signal });
-  }
+/** Lists the prefix once; tries again until it succeeds. */
+export function listPrefix(options: ListOptions): void {
+  const retries = createRetries(options);
 
   async function list(): Promise<void> {
     const asOfMs = options.scheduler.now();
     const outcome = await options.store.list(options.prefix);
     if (options.signal.aborted) return;
-    if (outcome.kind === "unavailable") return retryLater(outcome.message);
+    if (outcome.kind === "unavailable") {
+      return retries.schedule(outcome.message, () => void list());
+    }
     options.onList(outcome.objects, outcome.version);
     options.onConfirmed?.(asOfMs);
   }
@@ -86,28 +103,13 @@
 export function followPrefix(options: FollowOptions): void {
   const { signal } = options;
   /** Watches in a row that ended without a word of the store. */
-  let failures = 0;
-
-  function scheduleNext(message: string, resumeFrom: number | undefined): void {
-    options.onUnavailable?.(message);
-    const delayMs = backoff.computeRetryDelayMs({
-      failures,
-      baseMs: options.retryDelayMs ?? defaultRetryDelayMs,
-      random: options.random,
-      maxDoublings: options.maxDoublings,
-    });
-    failures += 1;
-    options.scheduler.schedule(
-      () => resumeFrom === undefined ? listAndWatch() : startWatch(resumeFrom),
-      { delayMs, signal },
-    );
-  }
+  const retries = createRetries(options);
 
   function listAndWatch(): void {
     listPrefix({
       ...options,
       onList(objects, version) {
-        failures = 0;
+        retries.reset();
         options.onList(objects, version);
         if (!signal.aborted) startWatch(version);
       },
@@ -121,7 +123,7 @@
       getConfirmMs: options.getConfirmMs,
       collectMs: options.collectMs,
       onEvent(event) {
-        if (event.kind !== "closed") failures = 0;
+        if (event.kind !== "closed") retries.reset();
         switch (event.kind) {
           case "changed":
             return options.onObject(event.object);
@@ -130,12 +132,20 @@
           case "confirmed":
             return options.onConfirmed?.(event.asOfMs);
           case "closed":
-            return scheduleNext(event.message, event.resumeFrom);
+            return retries.schedule(
+              event.message,
+              () => startFrom(event.resumeFrom),
+            );
         }
       },
     });
   }
 
-  if (options.startVersion === undefined) listAndWatch();
-  else startWatch(options.startVersion);
+  /** Watches from a version; lists first without one. */
+  function startFrom(version: number | undefined): void {
+    if (version === undefined) listAndWatch();
+    else startWatch(version);
+  }
+
+  startFrom(options.startVersion);
 }
