--- a/packages/anvilhinge/src/agent/ranks/rank_agent.ts
+++ b/packages/anvilhinge/src/agent/ranks/rank_agent.ts
@@ -66,6 +66,11 @@
 const candidateStatusTicks = 1;
 /** Ticks between status messages of any other rank. */
 const otherStatusTicks = 10;
+/**
+ * Ticks between status messages to agents of other groups, which need them only
+ * to notice that the groups were formed anew.
+ */
+const otherGroupStatusTicks = 100;
 /** Interval between iterations of the leader; about one forward pass. */
 const leaderIntervalMs = 50;
 const maxCopiesPerRank = 2;
@@ -120,8 +125,11 @@
       : otherStatusTicks;
     if (tickCount % intervalTicks !== 0) return;
     const live = peers.listLive().map(({ address }) => address);
+    const isForAllGroups = tickCount % otherGroupStatusTicks === 0;
     for (const address of new Set([...options.listAddresses(), ...live])) {
-      sockets.send(message, address);
+      const group = peers.findGroup(address);
+      const isOfGroup = group === undefined || group === status.group;
+      if (isOfGroup || isForAllGroups) sockets.send(message, address);
     }
   }
 
--- a/packages/anvilhinge/src/agent/ranks/rank_peers.ts
+++ b/packages/anvilhinge/src/agent/ranks/rank_peers.ts
@@ -35,7 +35,10 @@
 export interface RankPeers {
   setOwn(status: RankStatus): void;
   getOwn(): RankStatus | undefined;
+  /** Records a status of an agent of any group. */
   record(status: RankStatus, address: string): void;
+  /** Returns the group of the agent at an address; undefined if unknown. */
+  findGroup(address: string): string | undefined;
   /** Lists the live agents of this agent's group, sorted by rank. */
   listLive(): readonly RankPeer[];
   /** Whether the peer's last status is within the timeout for its rank. */
@@ -75,7 +78,11 @@
   const peerTimeoutMs = options.peerTimeoutMs ?? defaultPeerTimeoutMs;
   const candidateTimeoutMs = options.candidateTimeoutMs ??
     defaultCandidateTimeoutMs;
-  const peers = new Map<number, RankPeer>();
+  /**
+   * Agents by address: ranks are numbered within their group, and a service may
+   * have several groups.
+   */
+  const peers = new Map<string, RankPeer>();
   let own: RankStatus | undefined;
 
   function isRecent({ status, lastSeenAtMs }: RankPeer): boolean {
@@ -83,11 +90,21 @@
       options.clock.now() - lastSeenAtMs < peerTimeoutMs;
   }
 
+  /** Keeps the last seen agent of each rank, sorted by rank. */
+  function selectLastSeen(candidates: readonly RankPeer[]): RankPeer[] {
+    const byRank = new Map<number, RankPeer>();
+    for (const peer of candidates) {
+      const other = byRank.get(peer.status.rank);
+      const isLater = other === undefined ||
+        peer.lastSeenAtMs > other.lastSeenAtMs;
+      if (isLater) byRank.set(peer.status.rank, peer);
+    }
+    return [...byRank.values()].sort((a, b) => a.status.rank - b.status.rank);
+  }
+
   /** Lists the peers seen within `peerTimeoutMs`, sorted by rank. */
   function listRecent(): readonly RankPeer[] {
-    return [...peers.values()]
-      .filter(isRecent)
-      .sort((a, b) => a.status.rank - b.status.rank);
+    return selectLastSeen([...peers.values()].filter(isRecent));
   }
 
   /** Whether fewer than `candidateCount` recently seen ranks are lower. */
@@ -114,20 +131,19 @@
     },
     getOwn: () => own,
     record(status, address) {
-      peers.set(status.rank, {
-        address,
-        status,
-        lastSeenAtMs: options.clock.now(),
-      });
+      const lastSeenAtMs = options.clock.now();
+      peers.set(address, { address, status, lastSeenAtMs });
     },
+    findGroup: (address) => peers.get(address)?.status.group,
     listLive,
     isLive: (peer) => isRecent(peer) && isLiveAmong(peer, listRecent()),
     isRecent,
     findLastSeen(rank) {
-      const peer = peers.get(rank);
-      const isCurrent = peer?.status.group === own?.group &&
-        peer?.status.epoch === own?.epoch;
-      return isCurrent ? peer : undefined;
+      const ofRank = [...peers.values()].filter(({ status }) =>
+        status.rank === rank && status.group === own?.group &&
+        status.epoch === own?.epoch
+      );
+      return selectLastSeen(ofRank)[0];
     },
     isCandidate: () =>
       own !== undefined && isCandidateRank(own.rank, listRecent()),
