--- a/packages/anvilhinge/src/adapters/datagrams.ts
+++ b/packages/anvilhinge/src/adapters/datagrams.ts
@@ -1,5 +1,9 @@
-/** JSON messages between processes over UDP, which may lose any of them. */
+/**
+ * JSON messages between processes over UDP, which may lose any of them. Long
+ * messages, such as expert maps, are compressed, as the links are narrow.
+ */
 import * as dgram from "node:dgram";
+import * as zlib from "node:zlib";
 import * as hostPort from "./address.ts";
 
 export interface DatagramOptions {
@@ -18,6 +22,33 @@
   send(message: unknown, address: string): void;
 }
 
+/** Length from which a message is compressed, in bytes. */
+const minCompressedBytes = 1_000;
+/** First byte of a compressed message; JSON text does not begin with it. */
+const compressedMarker = 0;
+/** Limit on the length of a message after decompression, in bytes. */
+const maxMessageBytes = 4 * 1024 * 1024;
+
+function encodeMessage(message: unknown): Buffer {
+  const text = Buffer.from(JSON.stringify(message));
+  if (text.byteLength < minCompressedBytes) return text;
+  const { Z_BEST_SPEED: level } = zlib.constants;
+  return Buffer.concat([
+    Buffer.of(compressedMarker),
+    zlib.deflateRawSync(text, { level }),
+  ]);
+}
+
+/** Decodes a datagram; throws if it contains no message. */
+function decodeMessage(data: Buffer): unknown {
+  const text = data[0] === compressedMarker
+    ? zlib.inflateRawSync(data.subarray(1), {
+      maxOutputLength: maxMessageBytes,
+    })
+    : data;
+  return JSON.parse(text.toString());
+}
+
 /** Opens the socket; resolves when the socket can receive. */
 export function openDatagrams(options: DatagramOptions): Promise<Datagrams> {
   const { signal, onFailure } = options;
@@ -32,9 +63,9 @@
   socket.on("message", (data, sender) => {
     let message: unknown;
     try {
-      message = JSON.parse(data.toString());
+      message = decodeMessage(data);
     } catch {
-      return onFailure("Received a datagram that is not valid JSON");
+      return onFailure("Received a datagram that is not a message");
     }
     options.onMessage(message, `${sender.address}:${sender.port}`);
   });
@@ -47,7 +78,7 @@
         send(message, address) {
           if (!isOpen) return;
           const { host, port } = hostPort.parseAddress(address);
-          socket.send(JSON.stringify(message), port, host, (error) => {
+          socket.send(encodeMessage(message), port, host, (error) => {
             if (error !== null) onFailure(error.message);
           });
         },
--- a/packages/anvilhinge/src/agent/ranks/rank_agent.ts
+++ b/packages/anvilhinge/src/agent/ranks/rank_agent.ts
@@ -31,6 +31,8 @@
 export type RankMessage =
   | StatusMessage
   | rankRpc.CallMessage
+  | rankRpc.ReceivedMessage
+  | rankRpc.PollMessage
   | rankRpc.AnswerMessage;
 
 export interface RankAgentOptions {
@@ -79,10 +81,18 @@
 /** Assumed until the spec has been read. */
 const defaultReportLagMs = 300;
 
+const messageKinds: readonly unknown[] = [
+  "status",
+  "call",
+  "received",
+  "poll",
+  "answer",
+] satisfies readonly RankMessage["kind"][];
+
 /** Whether a datagram contains a message for an agent. */
 export function isRankMessage(message: unknown): message is RankMessage {
   const kind = (message as { readonly kind?: unknown } | null)?.kind;
-  return kind === "status" || kind === "call" || kind === "answer";
+  return messageKinds.includes(kind);
 }
 
 /** Starts one agent. */
@@ -235,6 +245,10 @@
           return peers.record(message.status, from);
         case "call":
           return calls.handleCall(message, from);
+        case "received":
+          return calls.handleReceived(message);
+        case "poll":
+          return calls.handlePoll(message, from);
         case "answer":
           return calls.handleAnswer(message);
       }
--- a/packages/anvilhinge/src/agent/ranks/rank_rpc.ts
+++ b/packages/anvilhinge/src/agent/ranks/rank_rpc.ts
@@ -1,7 +1,9 @@
 /**
  * Remote calls over datagrams from the leader to the agents of the ranks. A
- * call is retransmitted until it is answered, and executed once however often
- * it arrives.
+ * call is executed once however often it arrives. It is retransmitted until the
+ * agent has received it; afterwards, the leader polls for the answer, because a
+ * call may contain a whole expert map and take as long as its experts are
+ * copied.
  */
 import type * as rankOrders from "@anvilhinge/coordination/maps/rank_orders";
 import type * as datagrams from "../../adapters/datagrams.ts";
@@ -36,6 +38,18 @@
   readonly call: RankCall;
 }
 
+/** An agent has received a call, whose answer takes longer. */
+export interface ReceivedMessage {
+  readonly kind: "received";
+  readonly id: string;
+}
+
+/** Requests the answer to a call again, in case it was lost. */
+export interface PollMessage {
+  readonly kind: "poll";
+  readonly id: string;
+}
+
 export interface AnswerMessage {
   readonly kind: "answer";
   readonly id: string;
@@ -60,11 +74,20 @@
   /** Executes a call at the local engine. */
   execute(call: RankCall): Promise<RankAnswer>;
   handleCall(message: CallMessage, from: string): void;
+  handlePoll(message: PollMessage, from: string): void;
+  handleReceived(message: ReceivedMessage): void;
   handleAnswer(message: AnswerMessage): void;
 }
 
-/** Interval between retransmissions of an unanswered call. */
+/** Interval until the first retransmission; it doubles with each. */
 const resendIntervalMs = 40;
+/** The same for a call with an expert map, which takes long to send to all. */
+const mapResendIntervalMs = 160;
+const maxResendDoublings = 2;
+/** Interval between polls for an answer. */
+const pollIntervalMs = 40;
+/** Time after which an agent confirms a call that has no answer yet. */
+const confirmDelayMs = 10;
 /** Maximum time for one order at an engine, over all sends. */
 const orderTimeoutMs = 2_500;
 /** Answers kept to recognize retransmitted calls. */
@@ -105,25 +128,61 @@
   }
 }
 
+interface PendingCall {
+  readonly finish: (answer: RankAnswer | undefined) => void;
+  isReceived: boolean;
+}
+
+interface ExecutedCall {
+  /** Undefined until the call has been executed. */
+  answer: RankAnswer | undefined;
+}
+
+function getResendIntervalMs(call: RankCall): number {
+  return call.kind === "order" && call.order.kind === "prepare"
+    ? mapResendIntervalMs
+    : resendIntervalMs;
+}
+
 /** Creates the client and server side of the calls of one agent. */
 export function createRankRpc(options: RankRpcOptions): RankRpc {
-  const { engine, scheduler } = options;
-  const pendingCalls = new Map<
-    string,
-    (answer: RankAnswer | undefined) => void
-  >();
-  /** Answers by call id, so that a retransmitted call does not run again. */
-  const answers = new Map<string, Promise<RankAnswer>>();
+  const { engine, scheduler, sockets } = options;
+  const pendingCalls = new Map<string, PendingCall>();
+  /** Calls of other agents by id, so that a repeated call does not run again. */
+  const executedCalls = new Map<string, ExecutedCall>();
   let callCount = 0;
 
   const execute = (call: RankCall): Promise<RankAnswer> =>
     executeCall(call, { engine, scheduler });
 
-  function keepAnswer(id: string, answer: Promise<RankAnswer>): void {
-    answers.set(id, answer);
-    if (answers.size <= maxKeptAnswers) return;
-    const oldest = answers.keys().next().value;
-    if (oldest !== undefined) answers.delete(oldest);
+  function keepCall(id: string): ExecutedCall {
+    const executed: ExecutedCall = { answer: undefined };
+    executedCalls.set(id, executed);
+    if (executedCalls.size > maxKeptAnswers) {
+      const oldest = executedCalls.keys().next().value;
+      if (oldest !== undefined) executedCalls.delete(oldest);
+    }
+    return executed;
+  }
+
+  /** Sends the answer; confirms a call whose answer takes longer. */
+  function reply(id: string, { answer }: ExecutedCall, to: string): void {
+    const message: AnswerMessage | ReceivedMessage = answer === undefined
+      ? { kind: "received", id }
+      : { kind: "answer", id, answer };
+    sockets.send(message, to);
+  }
+
+  async function runCall({ id, call }: CallMessage, from: string) {
+    const executed = keepCall(id);
+    const abort = new AbortController();
+    scheduler.schedule(() => reply(id, executed, from), {
+      delayMs: confirmDelayMs,
+      signal: abort.signal,
+    });
+    executed.answer = await execute(call);
+    abort.abort();
+    reply(id, executed, from);
   }
 
   return {
@@ -132,37 +191,50 @@
       callCount += 1;
       const id = `${options.incarnation}/${callCount}`;
       const message: CallMessage = { kind: "call", id, call };
+      const poll: PollMessage = { kind: "poll", id };
       const abort = new AbortController();
       const { signal } = abort;
+      let resendMs = getResendIntervalMs(call);
+      const maxResendMs = resendMs * 2 ** maxResendDoublings;
       return new Promise((resolve) => {
-        function finish(answer: RankAnswer | undefined): void {
-          abort.abort();
-          pendingCalls.delete(id);
-          resolve(answer);
-        }
+        const pending: PendingCall = {
+          isReceived: false,
+          finish(answer) {
+            abort.abort();
+            pendingCalls.delete(id);
+            resolve(answer);
+          },
+        };
         function send(): void {
-          options.sockets.send(message, address);
-          scheduler.schedule(send, { delayMs: resendIntervalMs, signal });
+          sockets.send(pending.isReceived ? poll : message, address);
+          const delayMs = pending.isReceived ? pollIntervalMs : resendMs;
+          resendMs = Math.min(maxResendMs, 2 * resendMs);
+          scheduler.schedule(send, { delayMs, signal });
         }
-        pendingCalls.set(id, finish);
-        scheduler.schedule(() => finish(undefined), {
+        pendingCalls.set(id, pending);
+        scheduler.schedule(() => pending.finish(undefined), {
           delayMs: timeoutMs,
           signal,
         });
         send();
       });
     },
-    handleCall({ id, call }, from) {
-      const earlierAnswer = answers.get(id);
-      const answer = earlierAnswer ?? execute(call);
-      if (earlierAnswer === undefined) keepAnswer(id, answer);
-      void answer.then((result) => {
-        const message: AnswerMessage = { kind: "answer", id, answer: result };
-        options.sockets.send(message, from);
-      });
+    handleCall(message, from) {
+      const executed = executedCalls.get(message.id);
+      if (executed === undefined) void runCall(message, from);
+      else reply(message.id, executed, from);
+    },
+    handlePoll({ id }, from) {
+      const executed = executedCalls.get(id);
+      // An answer that is not ready is sent once it is.
+      if (executed?.answer !== undefined) reply(id, executed, from);
+    },
+    handleReceived({ id }) {
+      const pending = pendingCalls.get(id);
+      if (pending !== undefined) pending.isReceived = true;
     },
     handleAnswer({ id, answer }) {
-      pendingCalls.get(id)?.(answer);
+      pendingCalls.get(id)?.finish(answer);
     },
   };
 }
