--- a/packages/anvilhinge/src/entry/callers/routed_answer.ts
+++ b/packages/anvilhinge/src/entry/callers/routed_answer.ts
@@ -63,6 +63,8 @@
   getStatus(): number;
   /** Returns the message of the error answer; undefined if there was none. */
   getReason(): string | undefined;
+  /** Whether the answer was broken off after its first part. */
+  isCut(): boolean;
   getTimes(): AnswerTimes;
 }
 
@@ -70,6 +72,8 @@
 export interface AnswerTimes {
   /** Time of the first part; undefined for a whole answer or if none was sent. */
   readonly firstAtMs: number | undefined;
+  /** Time of the last part; undefined under the same conditions. */
+  readonly lastAtMs: number | undefined;
   /** Longest gap between two consecutive parts, in milliseconds. */
   readonly longestPauseMs: number;
 }
@@ -94,13 +98,13 @@
   let bufferedParts: Uint8Array[] = [];
   let isOpen = false;
   let firstAtMs: number | undefined;
-  let lastAtMs = 0;
+  let lastAtMs: number | undefined;
   let longestPauseMs = 0;
   let reason: string | undefined;
 
   function recordPart(): void {
     const nowMs = clock.now();
-    if (firstAtMs === undefined) {
+    if (lastAtMs === undefined) {
       firstAtMs = nowMs;
     } else {
       const pauseMs = nowMs - lastAtMs;
@@ -131,7 +135,8 @@
   return {
     getStatus: () => response.statusCode,
     getReason: () => reason,
-    getTimes: () => ({ firstAtMs, longestPauseMs }),
+    isCut: () => isOpen && reason !== undefined,
+    getTimes: () => ({ firstAtMs, lastAtMs, longestPauseMs }),
     head(received) {
       head = received;
       response.statusCode = received.status;
--- a/packages/anvilhinge/src/entry/callers/routed_answer_test.ts
+++ b/packages/anvilhinge/src/entry/callers/routed_answer_test.ts
@@ -92,3 +92,17 @@
   expect(text.startsWith(`HTTP/1.1 ${status} `)).toBe(true);
   expect(/Retry-After: (.*)\r\n/.exec(text)?.[1]).toBe(retryAfter);
 });
+
+test.each([
+  ["broken off after its first part", true, true],
+  ["answered with an error instead", false, false],
+])("tells whether the answer was cut: %s", async (_, hasData, isCut) => {
+  const cuts: boolean[] = [];
+  await writeAnswer((answer) => {
+    answer.head({ status: 200, headers: [] }, source);
+    if (hasData) answer.data(Buffer.from("part"), 1);
+    answer.answer({ kind: "failed", message: "reset", ran: "yes" });
+    cuts.push(answer.isCut());
+  }, { isWhole: false });
+  expect(cuts).toEqual([isCut]);
+});
--- a/packages/anvilhinge/src/entry/callers/routed_http.ts
+++ b/packages/anvilhinge/src/entry/callers/routed_http.ts
@@ -230,38 +230,39 @@
     void done.then(() => {
       state.openRequests -= 1;
       requestPolicy.end();
-      const { firstAtMs, longestPauseMs } = sink.getTimes();
+      const { firstAtMs, lastAtMs, longestPauseMs } = sink.getTimes();
       const dispatchRecord = requestPolicy.describe();
       const tookMs = scheduler.now() - arrivedAtMs;
-      const firstMs = firstAtMs === undefined
-        ? undefined
-        : firstAtMs - arrivedAtMs;
+      const [firstMs, lastMs] = [firstAtMs, lastAtMs].map((atMs) =>
+        atMs === undefined ? undefined : Math.round(atMs - arrivedAtMs)
+      );
+      const outcome = callerAbort.signal.aborted
+        ? "gone"
+        : describeOutcome(sink);
       options.metrics.recordRequest({
         kind: route.kind,
         priority: sessionRequest.priority,
-        outcome: callerAbort.signal.aborted
-          ? "gone"
-          : describeOutcome(sink.getStatus()),
+        outcome,
         tookMs,
         firstMs,
         waitedMs: dispatchRecord.waitedMs,
       });
-      const isSuccess = !callerAbort.signal.aborted &&
-        sink.getStatus() < firstErrorStatus;
-      const log = isSuccess
+      const log = outcome === "answered"
         ? options.logger.infoRateLimited
         : options.logger.info;
       log("Request done", {
         requestId,
         route: route.name,
         workspace: sessionRequest.workspace,
-        status: callerAbort.signal.aborted ? "gone" : sink.getStatus(),
+        status: outcome === "gone" ? "gone" : sink.getStatus(),
+        isCut: sink.isCut() || undefined,
         reason: sink.getReason(),
         priority: sessionRequest.priority,
         leftMs: Math.round(leftMs),
         settingsVersion,
         tookMs: Math.round(tookMs),
-        firstMs: firstMs && Math.round(firstMs),
+        firstMs,
+        lastMs,
         longestPauseMs: Math.round(longestPauseMs),
         ...dispatchRecord,
       });
@@ -288,8 +289,10 @@
 }
 
 function describeOutcome(
-  status: number,
+  sink: routedAnswer.RoutedAnswerWriter,
 ): routedMetrics.RequestEnd["outcome"] {
+  if (sink.isCut()) return "cut";
+  const status = sink.getStatus();
   if (status < firstErrorStatus) return "answered";
   return status === 503 ? "refused" : "failed";
 }
--- a/packages/anvilhinge/src/entry/choice/routed_policy.ts
+++ b/packages/anvilhinge/src/entry/choice/routed_policy.ts
@@ -57,6 +57,8 @@
   /** Undefined while the attempt runs, as is the outcome. */
   endedMs?: number;
   outcome?: string;
+  /** Why the entry ended the attempt before its answer was whole. */
+  cause?: session.AttemptEndCause;
 }
 
 /** How one request was dispatched: its attempts and its wait for slots. */
@@ -381,7 +383,7 @@
           promptTokens: request.size?.promptTokens ?? 0,
         });
       },
-      recordOutcome({ upstream, outcome }) {
+      recordOutcome({ upstream, outcome, cause }) {
         // Keeps a pending slot request: after a stall, the session requests the
         // slot of the next attempt before it reports the end of this attempt.
         releaseAttempt();
@@ -389,6 +391,7 @@
         if (last !== undefined) {
           last.endedMs = measureElapsed();
           last.outcome = outcome;
+          last.cause = cause;
         }
         upstreamHealth.recordOutcome(upstream.id, outcome);
       },
--- a/packages/anvilhinge/src/entry/operators/routed_metrics.ts
+++ b/packages/anvilhinge/src/entry/operators/routed_metrics.ts
@@ -9,8 +9,11 @@
   readonly kind: routing.RouteKind;
   /** Priority of the workspace, or of the route if there is no workspace. */
   readonly priority: number;
-  /** `gone` = the caller disconnected before the end of the answer. */
-  readonly outcome: "answered" | "failed" | "refused" | "gone";
+  /**
+   * `cut` = the entry broke the answer off after its first part; `gone` = the
+   * caller disconnected before the end of the answer.
+   */
+  readonly outcome: "answered" | "cut" | "failed" | "refused" | "gone";
   readonly tookMs: number;
   /** Time to the first part; undefined for a whole answer or without a part. */
   readonly firstMs: number | undefined;
--- a/packages/anvilhinge/src/entry/session/session.ts
+++ b/packages/anvilhinge/src/entry/session/session.ts
@@ -60,7 +60,7 @@
     if (state.phase === "preparing" || state.phase === "claiming") {
       return finishUnsent(state, message);
     }
-    const observed = observe(state, "lost");
+    const observed = observe(state, "lost", { cause: "deadline" });
     // A claimed attempt is not cancelled: a later lookup can find its outcome.
     if (!request.isRepeatable && options.gate !== "none") {
       return [...observed, ...finishUnknown(message)];
@@ -109,7 +109,7 @@
     if (isRecorded) return [];
     shared.isDone = true;
     shared.current = undefined;
-    const observed = observe(state, "completed");
+    const observed = observe(state, "completed", { cause: "caller_gone" });
     // A caller that has received data may resume the stream at another entry.
     // The agent ends an attempt that no entry has followed for some time.
     if (request.delivery === "streamed" && buffer.hasDelivered()) {
--- a/packages/anvilhinge/src/entry/session/session_core.ts
+++ b/packages/anvilhinge/src/entry/session/session_core.ts
@@ -19,6 +19,11 @@
   { readonly kind: "observe" }
 >["outcome"];
 
+interface ObservationReport {
+  readonly load?: engine.EngineLoad;
+  readonly cause?: types.AttemptEndCause;
+}
+
 /** Mutable state of one session, shared by its handlers. */
 export interface SharedState {
   /** Number of attempts started so far. */
@@ -65,7 +70,7 @@
   observe(
     state: attemptState.AttemptState,
     outcome: Observation,
-    report?: { readonly load?: engine.EngineLoad },
+    report?: ObservationReport,
   ): Effects;
   resetStallTimer(): types.SessionEffect;
   /** Chooses an upstream and starts an attempt there. */
@@ -172,11 +177,12 @@
   function observe(
     state: attemptState.AttemptState,
     outcome: Observation,
-    { load }: { readonly load?: engine.EngineLoad } = {},
+    { load, cause }: ObservationReport = {},
   ): Effects {
     if (state.isObserved) return [];
     state.isObserved = true;
-    return [{ kind: "observe", upstream: state.upstream, outcome, load }];
+    const { upstream } = state;
+    return [{ kind: "observe", upstream, outcome, load, cause }];
   }
 
   function resetStallTimer(): types.SessionEffect {
--- a/packages/anvilhinge/src/entry/session/session_direct_test.ts
+++ b/packages/anvilhinge/src/entry/session/session_direct_test.ts
@@ -233,3 +233,16 @@
     expect(driver.listEffects("cancel")).toHaveLength(1);
   }
 });
+
+test.each(
+  [
+    ["broken", lost],
+    ["stalled", { kind: "timer", name: "stall" }],
+    ["deadline", { kind: "timer", name: "deadline" }],
+    ["caller_gone", { kind: "caller_gone" }],
+  ] as const,
+)("the end of an attempt is observed with the cause %s", (cause, event) => {
+  const driver = createDriver(stream);
+  driver.feed(event);
+  expect(driver.listEffects("observe")[0]?.cause).toBe(cause);
+});
--- a/packages/anvilhinge/src/entry/session/session_frames.ts
+++ b/packages/anvilhinge/src/entry/session/session_frames.ts
@@ -45,6 +45,7 @@
   function handleBroken(
     state: attemptState.AttemptState,
     message: string,
+    cause: types.AttemptEndCause = "broken",
   ): Effects {
     const isResumable = options.gate !== "none" && state.isStarted &&
       state.resumes < maxResumes;
@@ -52,7 +53,7 @@
       state.resumes += 1;
       return sendResume(state);
     }
-    const observed = observe(state, "lost");
+    const observed = observe(state, "lost", { cause });
     if (!request.isRepeatable) {
       return state.isStarted || options.gate === "none"
         ? [...observed, ...finishUnknown(message)]
@@ -77,7 +78,10 @@
       return handleBroken(state, event.message);
     }
     shared.notRunAttemptId = state.attemptId;
-    return [...observe(state, "lost"), ...retryUnsent(event.message)];
+    return [
+      ...observe(state, "lost", { cause: "broken" }),
+      ...retryUnsent(event.message),
+    ];
   }
 
   function handleStall(): Effects {
@@ -86,7 +90,11 @@
     // A slow attempt that must not run twice continues as long as its agent
     // answers the seal with `running`.
     return request.isRepeatable
-      ? handleBroken(shared.current, "The upstream sent nothing for too long")
+      ? handleBroken(
+        shared.current,
+        "The upstream sent nothing for too long",
+        "stalled",
+      )
       : sendSeal(shared.current);
   }
 
@@ -99,7 +107,7 @@
     if (retried === undefined) return [];
     const { upstream, attemptId } = state;
     return [
-      ...observe(state, "lost"),
+      ...observe(state, "lost", { cause: "stalled" }),
       { kind: "cancel", upstream, attemptId },
       ...retried,
     ];
@@ -123,7 +131,7 @@
       const drop: types.SessionEffect = { kind: "drop", frame };
       if (state.phase === "sealing") return [drop];
       state.isStarted = true;
-      return [drop, ...handleBroken(state, "The answer has gaps")];
+      return [drop, ...handleBroken(state, "The answer has gaps", "misplaced")];
     }
     state.nextSequence += 1;
     return applyFrame(state, frame);
@@ -180,7 +188,9 @@
       return [...buffer.add({ kind: "data", data, sequence }, { isBuffered })];
     }
     const pushed = eventAssembler.push(data);
-    if (pushed.kind === "misplaced") return handleBroken(state, pushed.message);
+    if (pushed.kind === "misplaced") {
+      return handleBroken(state, pushed.message, "misplaced");
+    }
     return pushed.data === undefined
       ? []
       : [...buffer.add({ kind: "data", data: pushed.data, sequence })];
--- a/packages/anvilhinge/src/entry/session/session_types.ts
+++ b/packages/anvilhinge/src/entry/session/session_types.ts
@@ -166,6 +166,18 @@
 /** Whether a request ran, at least in part, and so may have had an effect. */
 export type RunStatus = "no" | "yes" | "unknown";
 
+/**
+ * Why the session ended an attempt before its answer was whole. `broken`: the
+ * connection to the upstream or agent ended. `misplaced`: a part of the answer
+ * was missing or repeated. `stalled`: another attempt replaced it.
+ */
+export type AttemptEndCause =
+  | "broken"
+  | "misplaced"
+  | "stalled"
+  | "deadline"
+  | "caller_gone";
+
 /** Final result for a caller whose answer could not be completed. */
 export type FinalAnswer =
   /** The request did not run. */
@@ -274,6 +286,7 @@
     readonly upstream: Upstream;
     readonly outcome: "completed" | "refused" | "failed" | "lost";
     readonly load?: engine.EngineLoad;
+    readonly cause?: AttemptEndCause;
   }
   /** Drop a frame that is not the next one of the current attempt. */
   | { readonly kind: "drop"; readonly frame: frames.Frame };
--- a/packages/anvilhinge/src/explain/request_report.ts
+++ b/packages/anvilhinge/src/explain/request_report.ts
@@ -22,6 +22,7 @@
   readonly sentMs?: number;
   readonly endedMs?: number;
   readonly outcome?: string;
+  readonly cause?: string;
 }
 
 /**
@@ -92,22 +93,26 @@
 }
 
 function describeAttempt(attempt: Attempt, index: number): string {
-  const { upstream, sentMs, endedMs, outcome } = attempt;
+  const { upstream, sentMs, endedMs, outcome, cause } = attempt;
+  const causeText = cause === undefined ? "" : ` (${cause})`;
   const end = outcome === undefined
     ? "no end logged"
-    : `${outcome} at ${endedMs} ms`;
+    : `${outcome}${causeText} at ${endedMs} ms`;
   return `  attempt ${index + 1}: ${upstream}, sent at ${sentMs} ms, ${end}`;
 }
 
 function describeEnd({ fields }: logLine.LogLine): string {
-  const { status, reason, tookMs, waitedMs, decidedBy, firstMs } = fields;
+  const { status, reason, tookMs, waitedMs, decidedBy } = fields;
+  const { firstMs, lastMs, isCut } = fields;
   const waited = decidedBy === undefined
     ? ""
     : `; waited ${waitedMs} ms for slots, last decided by the ${decidedBy}`;
   const first = firstMs === undefined ? "" : `, first part at ${firstMs} ms`;
+  const last = lastMs === undefined ? "" : `, last part at ${lastMs} ms`;
+  const cut = isCut === true ? ", broken off" : "";
   const after = tookMs === undefined ? "" : ` after ${tookMs} ms`;
   const reasonText = reason === undefined ? "" : `: ${reason}`;
-  return `  answer ${status}${after}${first}${reasonText}${waited}`;
+  return `  answer ${status}${after}${first}${last}${cut}${reasonText}${waited}`;
 }
 
 /**
--- a/packages/anvilhinge/src/explain/request_report_test.ts
+++ b/packages/anvilhinge/src/explain/request_report_test.ts
@@ -57,6 +57,34 @@
   });
 });
 
+test("reports why an attempt ended and that the answer was broken off", () => {
+  const line = createLine("[entry] Request done", {
+    atMs: 4_000,
+    requestId: "q2",
+    status: 200,
+    isCut: true,
+    reason: "No place is expected soon",
+    tookMs: 2_600,
+    firstMs: 300,
+    lastMs: 700,
+    attempts: [{
+      upstream: "i-1",
+      sentMs: 3,
+      endedMs: 2_550,
+      outcome: "lost",
+      cause: "stalled",
+    }],
+  });
+  const { text } = requestReport.describeRequest([line], "q2");
+  expect(text).toContain(
+    "attempt 1: i-1, sent at 3 ms, lost (stalled) at 2550 ms",
+  );
+  expect(text).toContain(
+    "answer 200 after 2600 ms, first part at 300 ms, last part at 700 ms, " +
+      "broken off: No place is expected soon",
+  );
+});
+
 test("lists related lines of all processes in order of time", () => {
   const upstreamRemoved = createLine("[entry] Removed an upstream", {
     atMs: 2_300,
