--- a/packages/anvilhinge/src/entry/session/session_direct_test.ts
+++ b/packages/anvilhinge/src/entry/session/session_direct_test.ts
@@ -246,3 +246,30 @@
   driver.feed(event);
   expect(driver.listEffects("observe")[0]?.cause).toBe(cause);
 });
+
+/** Feeds the head and the first event of the first attempt, then a stall. */
+function stallAfterFirstEvent(driver: sessionDriver.Driver): void {
+  driver.feedFrame(1, 0, { body: createHead(200) });
+  driver.feedFrame(1, 1, { body: sessionDriver.createChunk(createEvent(1)) });
+  driver.feed({ kind: "timer", name: "stall" });
+}
+
+/** Chooses the first upstream at once; later attempts wait for a slot. */
+function chooseThenWait(): session.SessionOptions["chooseUpstream"] {
+  return (attemptedIds) =>
+    attemptedIds.size === 0
+      ? { kind: "chosen", upstream: sessionDriver.createUpstream(0) }
+      : { kind: "wait" };
+}
+
+test("a stalled stream is not broken off when no slot for its replacement is granted", () => {
+  const driver = createDriver(stream, { chooseUpstream: chooseThenWait() });
+  stallAfterFirstEvent(driver);
+  driver.feed({ kind: "denied", reason: "full", retryAfterMs: 70 });
+  expect(driver.listEffects("cancel")).toEqual([]);
+  driver.feedFrame(1, 2, { body: sessionDriver.createChunk(createEvent(2)) });
+  driver.feedFrame(1, 3, { body: sessionDriver.createEnd(4) });
+  expect(driver.getText()).toBe(createEvent(1) + createEvent(2));
+  expect(driver.listEffects("end")).toHaveLength(1);
+  expect(listAnswers(driver)).toEqual([]);
+});
