--- a/packages/anvilhinge/src/entry/callers/routed_http.ts
+++ b/packages/anvilhinge/src/entry/callers/routed_http.ts
@@ -213,6 +213,7 @@
         readWallMs: Date.now,
         createAttemptId: () => `${requestId}/${++attemptCount}`,
         chooseUpstream: requestPolicy.chooseUpstream,
+        withdrawSlotRequest: requestPolicy.withdrawSlotRequest,
         takeRetry: requestPolicy.takeRetry,
         maxAttempts: route.maxUpstreams,
         stallMs: isStream ? streamStallMs : computeStallMs(route, leftMs),
--- a/packages/anvilhinge/src/entry/choice/routed_policy.ts
+++ b/packages/anvilhinge/src/entry/choice/routed_policy.ts
@@ -37,6 +37,8 @@
 /** Policy of one request, from its arrival to its end. */
 export interface RoutedRequestPolicy {
   chooseUpstream(attemptedIds: ReadonlySet<string>): session.UpstreamChoice;
+  /** Withdraws the pending slot request, or releases its unused slot. */
+  withdrawSlotRequest(): void;
   takeRetry(): boolean;
   recordDispatch(upstream: session.Upstream): void;
   recordOutcome(
@@ -120,6 +122,14 @@
   openAttempts: number;
 }
 
+/** An attempt that has not ended. */
+interface OpenAttempt {
+  readonly tracked: TrackedUpstream | undefined;
+  /** Key of the slot that it occupies; undefined without an engine. */
+  readonly slotKey: string | undefined;
+  readonly record: AttemptRecord;
+}
+
 interface PendingSlotRequest {
   readonly resolve: (
     event: Parameters<DecisionHandler>[0],
@@ -283,11 +293,10 @@
     const engine = services.get(request.service)?.engine;
     const arrivedAtMs = clock.now();
     let slotRequestCount = 0;
-    let current: TrackedUpstream | undefined;
-    /** Key of the pending slot request. */
+    /** Open attempts by upstream id; a stalled attempt and its replacement. */
+    const openAttempts = new Map<string, OpenAttempt>();
+    /** Key of the pending slot request, or of its slot until the dispatch. */
     let waitingKey: string | undefined;
-    /** Key of the slot that the current attempt occupies. */
-    let runningKey: string | undefined;
     const attempts: AttemptRecord[] = [];
     let decidedBy: string | undefined;
     let waitedMs = 0;
@@ -297,12 +306,14 @@
       return Math.round(clock.now() - arrivedAtMs);
     }
 
-    /** Releases the slot of the current attempt. */
-    function releaseAttempt(): void {
-      if (current !== undefined) current.openAttempts -= 1;
-      current = undefined;
-      if (runningKey !== undefined) slots.drop(runningKey);
-      runningKey = undefined;
+    /** Releases the slot of an attempt; undefined if it has ended already. */
+    function releaseAttempt(upstreamId: string): AttemptRecord | undefined {
+      const attempt = openAttempts.get(upstreamId);
+      if (attempt === undefined) return undefined;
+      openAttempts.delete(upstreamId);
+      if (attempt.tracked !== undefined) attempt.tracked.openAttempts -= 1;
+      if (attempt.slotKey !== undefined) slots.drop(attempt.slotKey);
+      return attempt.record;
     }
 
     function withdrawSlotRequest(): void {
@@ -353,6 +364,7 @@
         engine === undefined
           ? chooseLeastLoaded(request.service, attemptedIds)
           : requestSlot(attemptedIds),
+      withdrawSlotRequest,
       takeRetry() {
         const isTaken = budget.take();
         options.metrics.recordRetry(isTaken);
@@ -369,34 +381,39 @@
         waitedMs: Math.round(waitedMs),
       }),
       recordDispatch(upstream) {
-        attempts.push({ upstream: upstream.id, sentMs: measureElapsed() });
-        current = tracked.get(upstream.id);
-        if (current !== undefined) current.openAttempts += 1;
+        const record = { upstream: upstream.id, sentMs: measureElapsed() };
+        attempts.push(record);
+        const trackedUpstream = tracked.get(upstream.id);
+        if (trackedUpstream !== undefined) trackedUpstream.openAttempts += 1;
         upstreamHealth.recordSent(upstream.id);
-        runningKey = waitingKey;
+        const slotKey = waitingKey;
         waitingKey = undefined;
-        if (runningKey === undefined) return;
+        openAttempts.set(upstream.id, {
+          tracked: trackedUpstream,
+          slotKey,
+          record,
+        });
+        if (slotKey === undefined) return;
         slots.recordStart({
-          key: runningKey,
+          key: slotKey,
           upstreamId: upstream.id,
           workspace: request.workspace,
           promptTokens: request.size?.promptTokens ?? 0,
         });
       },
       recordOutcome({ upstream, outcome, cause }) {
-        // Keeps a pending slot request: after a stall, the session requests the
-        // slot of the next attempt before it reports the end of this attempt.
-        releaseAttempt();
-        const last = attempts.at(-1);
-        if (last !== undefined) {
-          last.endedMs = measureElapsed();
-          last.outcome = outcome;
-          last.cause = cause;
+        // Keeps a pending slot request: the session may request the slot of the
+        // next attempt before it reports the end of this attempt.
+        const record = releaseAttempt(upstream.id);
+        if (record !== undefined) {
+          record.endedMs = measureElapsed();
+          record.outcome = outcome;
+          record.cause = cause;
         }
         upstreamHealth.recordOutcome(upstream.id, outcome);
       },
       end() {
-        releaseAttempt();
+        for (const id of [...openAttempts.keys()]) releaseAttempt(id);
         withdrawSlotRequest();
       },
     };
--- a/packages/anvilhinge/src/entry/choice/routed_policy_test.ts
+++ b/packages/anvilhinge/src/entry/choice/routed_policy_test.ts
@@ -219,3 +219,52 @@
   expect(taken).toBeGreaterThan(0);
   expect(taken).toBeLessThanOrEqual(10);
 });
+
+test("a stalled attempt and its replacement occupy a slot each until they end", () => {
+  const { policy, scheduler, start } = createPolicy([
+    createListed("u1"),
+    createListed("u2"),
+  ]);
+  const { requestPolicy, decisions } = start("r1");
+  const countTaken = () => policy.describePools()[0]?.taken;
+  requestPolicy.chooseUpstream(new Set());
+  scheduler.advance(5);
+  requestPolicy.chooseUpstream(new Set(decisions));
+  scheduler.advance(300);
+  expect([...decisions].sort()).toEqual(["u1", "u2"]);
+  expect(countTaken()).toBe(2);
+  requestPolicy.recordOutcome({
+    kind: "observe",
+    upstream: createUpstream(decisions[0]!),
+    outcome: "lost",
+    cause: "stalled",
+  });
+  scheduler.advance(300);
+  expect(countTaken()).toBe(1);
+  expect(requestPolicy.describe().attempts).toMatchObject([
+    { upstream: decisions[0], outcome: "lost", cause: "stalled" },
+    { upstream: decisions[1] },
+  ]);
+  requestPolicy.end();
+  scheduler.advance(300);
+  expect(countTaken()).toBe(0);
+});
+
+test("a slot that is withdrawn after its grant is released", () => {
+  const { policy, scheduler, start } = createPolicy([createListed("u1")]);
+  const requestPolicy = policy.startRequest({
+    requestId: "r1",
+    service: "models",
+    route: createRoute("models"),
+    workspace: "w",
+    priority: 1,
+    size: undefined,
+    deadlineAtMs: scheduler.now() + 8_000,
+  }, () => requestPolicy.withdrawSlotRequest());
+  requestPolicy.chooseUpstream(new Set());
+  scheduler.advance(5);
+  const second = start("r2");
+  second.requestPolicy.chooseUpstream(new Set());
+  scheduler.advance(50);
+  expect(second.decisions).toEqual(["u1"]);
+});
--- a/packages/anvilhinge/src/entry/session/session.ts
+++ b/packages/anvilhinge/src/entry/session/session.ts
@@ -10,6 +10,7 @@
 import * as sessionClaims from "./session_claims.ts";
 import * as sessionCore from "./session_core.ts";
 import * as sessionFrames from "./session_frames.ts";
+import * as sessionReplacement from "./session_replacement.ts";
 import type * as types from "./session_types.ts";
 
 export type * from "./session_types.ts";
@@ -26,10 +27,11 @@
   const { finish, finishNotRun, finishUnknown, startNextAttempt, sendResume } =
     core;
   const { startAttemptAt } = core;
+  const replacements = sessionReplacement.createReplacementHandlers(core);
   const { handlePrepared, handleClaimAnswer, handleFound } = sessionClaims
     .createClaimHandlers(core);
   const { handleFrame, handleLost, handleStall, handleSealAnswer } =
-    sessionFrames.createFrameHandlers(core);
+    sessionFrames.createFrameHandlers(core, replacements);
 
   function startFirstAttempt(): Effects {
     const resumePoint = options.resumePoint;
@@ -54,9 +56,12 @@
   function handleDeadline(): Effects {
     const message = "The deadline passed before the answer was complete";
     const state = shared.current;
-    if (shared.isWaiting) return finishNotRun(message, 0);
-    // The lookup of an earlier submission's claim is still in progress.
-    if (state === undefined) return finishUnknown(message);
+    if (state === undefined) {
+      return shared.isWaiting
+        ? finishNotRun(message, 0)
+        // The lookup of an earlier submission's claim is still in progress.
+        : finishUnknown(message);
+    }
     if (state.phase === "preparing" || state.phase === "claiming") {
       return finishUnsent(state, message);
     }
@@ -65,11 +70,11 @@
     if (!request.isRepeatable && options.gate !== "none") {
       return [...observed, ...finishUnknown(message)];
     }
-    const { upstream, attemptId } = state;
     raiseRunStatus(state.isStarted ? "yes" : "unknown");
     return [
       ...observed,
-      { kind: "cancel", upstream, attemptId },
+      core.cancel(state),
+      ...replacements.withdraw("deadline"),
       ...finish({ kind: "deadline_exceeded", message, ran: shared.ran }),
     ];
   }
@@ -97,8 +102,10 @@
 
   function handleCallerGone(): Effects {
     const state = shared.current;
-    if (shared.isWaiting) shared.isDone = true;
-    if (state === undefined) return [];
+    if (state === undefined) {
+      if (shared.isWaiting) shared.isDone = true;
+      return [];
+    }
     if (state.phase === "preparing" || state.phase === "claiming") {
       shared.isDone = true;
       return [...observe(state, "completed"), ...settleUnsent(state)];
@@ -115,8 +122,30 @@
     if (request.delivery === "streamed" && buffer.hasDelivered()) {
       return observed;
     }
-    const { upstream, attemptId } = state;
-    return [...observed, { kind: "cancel", upstream, attemptId }];
+    return [
+      ...observed,
+      core.cancel(state),
+      ...replacements.withdraw("caller_gone"),
+    ];
+  }
+
+  function handleGranted(upstream: types.Upstream): Effects {
+    if (!shared.isWaiting) return [];
+    return shared.current === undefined
+      ? startAttemptAt(upstream)
+      : replacements.start(upstream);
+  }
+
+  function handleDenied(
+    { reason, retryAfterMs }: Extract<
+      types.SessionEvent,
+      { readonly kind: "denied" }
+    >,
+  ): Effects {
+    if (!shared.isWaiting) return [];
+    return shared.current === undefined
+      ? finishNotRun(reason, retryAfterMs)
+      : replacements.handleDenied();
   }
 
   function isCurrent(attemptId: string, phase: attemptState.Phase): boolean {
@@ -150,11 +179,9 @@
             ? handlePrepared(shared.current, event.outcome)
             : [];
         case "granted":
-          return shared.isWaiting ? startAttemptAt(event.upstream) : [];
+          return handleGranted(event.upstream);
         case "denied":
-          return shared.isWaiting
-            ? finishNotRun(event.reason, event.retryAfterMs)
-            : [];
+          return handleDenied(event);
         case "claim_answered":
           return shared.current !== undefined &&
               isCurrent(event.attemptId, "claiming")
@@ -165,6 +192,9 @@
         case "frame":
           return handleFrame(event.frame);
         case "lost":
+          if (shared.replacement?.state.attemptId === event.attemptId) {
+            return replacements.handleLost();
+          }
           return shared.current?.attemptId === event.attemptId
             ? handleLost(shared.current, event)
             : [];
--- a/packages/anvilhinge/src/entry/session/session_core.ts
+++ b/packages/anvilhinge/src/entry/session/session_core.ts
@@ -24,11 +24,20 @@
   readonly cause?: types.AttemptEndCause;
 }
 
+/** Attempt that is to replace the current, stalled attempt. */
+export interface Replacement {
+  readonly state: attemptState.AttemptState;
+  /** Head of its answer, until the answer's first data arrives. */
+  head?: engine.AnswerHead;
+}
+
 /** Mutable state of one session, shared by its handlers. */
 export interface SharedState {
   /** Number of attempts started so far. */
   attempts: number;
   current: attemptState.AttemptState | undefined;
+  /** Undefined unless the current attempt has stalled. */
+  replacement: Replacement | undefined;
   /** Latest attempt proven never to run; a new claim replaces its claim. */
   notRunAttemptId: string | undefined;
   /**
@@ -43,7 +52,10 @@
   pendingNotRun: NotRunDetails | undefined;
   /** Whether any attempt of this request ran, as far as is known. */
   ran: types.RunStatus;
-  /** True while the session waits for a slot at an upstream. */
+  /**
+   * True while the session waits for a slot at an upstream: for its next attempt
+   * or, if there is a current attempt, for the replacement of that attempt.
+   */
   isWaiting: boolean;
   isDone: boolean;
 }
@@ -56,6 +68,8 @@
   /** Assembles complete events; undefined unless delivery is `events`. */
   readonly eventAssembler: eventAssembler.EventAssembler | undefined;
   readonly recorder: answerBuffer.AnswerRecorder;
+  /** Ids of the upstreams attempted so far. */
+  readonly attemptedIds: ReadonlySet<string>;
   readonly maxAttempts: number;
   /**
    * Merges the run status of one attempt into that of the request: `yes`
@@ -77,6 +91,12 @@
   startNextAttempt(): Effects;
   /** Starts an attempt at the given upstream. */
   startAttemptAt(upstream: types.Upstream): Effects;
+  /** Creates an attempt at the given upstream without dispatching it. */
+  createAttempt(upstream: types.Upstream): attemptState.AttemptState;
+  /** Discards undelivered parts of the answer, for those of another attempt. */
+  resetAnswer(): void;
+  /** Adds the head of the current attempt's answer. */
+  addHead(state: attemptState.AttemptState, head: engine.AnswerHead): void;
   /** Dispatches a prepared attempt. */
   dispatch(state: attemptState.AttemptState): Effects;
   /** Retries or finishes after an attempt that certainly did not run. */
@@ -92,11 +112,18 @@
     message: string,
   ): Effects;
   /**
-   * Replaces a stalled attempt with an attempt at another upstream. Returns
-   * undefined and changes nothing but the retry budget if no other attempt can
-   * be started.
+   * Whether a request that ran or may have run may be attempted again, apart
+   * from the retry budget.
    */
-  retryStalled(state: attemptState.AttemptState): Effects | undefined;
+  isRetryPermitted(): boolean;
+  /** Withdraws the slot request, if there is one. */
+  withdrawSlotRequest(): void;
+  /**
+   * Makes the replacement the current attempt, after the current attempt ended.
+   * Returns undefined if there is no replacement.
+   */
+  switchToReplacement(): Effects | undefined;
+  cancel(state: attemptState.AttemptState): types.SessionEffect;
   sendResume(state: attemptState.AttemptState): Effects;
   sendSeal(state: attemptState.AttemptState): Effects;
 }
@@ -130,6 +157,7 @@
   const shared: SharedState = {
     attempts: 0,
     current: undefined,
+    replacement: undefined,
     notRunAttemptId: undefined,
     hasNoEarlierRun: request.isRepeatable || !request.isNamed,
     pendingNotRun: undefined,
@@ -189,7 +217,13 @@
     return { kind: "set_timer", name: "stall", delayMs: stallMs };
   }
 
+  function withdrawSlotRequest(): void {
+    if (shared.isWaiting) options.withdrawSlotRequest?.();
+    shared.isWaiting = false;
+  }
+
   function startNextAttempt(): Effects {
+    withdrawSlotRequest();
     if (request.deadlineAtMs <= options.clock.now()) {
       const reason = "The deadline passed before an upstream was found";
       return finishNotRun(reason, 0);
@@ -209,21 +243,63 @@
     }
   }
 
-  function startAttemptAt(upstream: types.Upstream): Effects {
-    shared.isWaiting = false;
+  function createAttempt(
+    upstream: types.Upstream,
+  ): attemptState.AttemptState {
     shared.attempts += 1;
     attemptedIds.add(upstream.id);
-    const attemptId = options.createAttemptId();
+    return attemptState.createAttemptState(options.createAttemptId(), upstream);
+  }
+
+  function resetAnswer(): void {
     buffer.restart();
     recorder.restart();
     assembler?.restart();
-    const state = attemptState.createAttemptState(attemptId, upstream);
+  }
+
+  function startAttemptAt(upstream: types.Upstream): Effects {
+    shared.isWaiting = false;
+    const state = createAttempt(upstream);
+    resetAnswer();
     shared.current = state;
+    const { attemptId } = state;
     return options.gate === "none"
       ? dispatch(state)
       : [{ kind: "prepare", upstream, attemptId }];
   }
 
+  function addHead(
+    state: attemptState.AttemptState,
+    head: engine.AnswerHead,
+  ): void {
+    const { upstream, attemptId } = state;
+    state.isStarted = true;
+    state.status = head.status;
+    recorder.setHead(head);
+    // A stream that continues at another upstream keeps the head that was
+    // already delivered.
+    if (!buffer.hasDelivered()) {
+      buffer.add({ kind: "head", head, upstream, attemptId });
+    }
+  }
+
+  function switchToReplacement(): Effects | undefined {
+    const { replacement } = shared;
+    if (replacement === undefined) return undefined;
+    shared.current = replacement.state;
+    shared.replacement = undefined;
+    resetAnswer();
+    const { state, head } = replacement;
+    if (head !== undefined) addHead(state, head);
+    return [resetStallTimer()];
+  }
+
+  function cancel(
+    { upstream, attemptId }: attemptState.AttemptState,
+  ): types.SessionEffect {
+    return { kind: "cancel", upstream, attemptId };
+  }
+
   function dispatch(state: attemptState.AttemptState): Effects {
     state.phase = "sent";
     const attempt = attemptState.buildAttempt(request, state, {
@@ -237,6 +313,8 @@
   }
 
   function retryNotRun(reason: string, retryAfterMs: number): Effects {
+    const continued = switchToReplacement();
+    if (continued !== undefined) return continued;
     shared.current = undefined;
     const mayRetry = shared.attempts < maxAttempts && options.takeRetry();
     return mayRetry ? startNextAttempt() : finishNotRun(reason, retryAfterMs);
@@ -246,22 +324,20 @@
     if (options.gate !== "none") return retryNotRun(reason, 0);
     // No upstream received the attempt, so it counts neither as a retry nor as
     // an attempt.
-    shared.current = undefined;
     shared.attempts -= 1;
+    const continued = switchToReplacement();
+    if (continued !== undefined) return continued;
+    shared.current = undefined;
     return attemptedIds.size < maxAttemptedUpstreams
       ? startNextAttempt()
       : finishNotRun(reason, 0);
   }
 
-  /**
-   * Takes a retry from the budget for a request that ran or may have run; false
-   * when the request must not be attempted again.
-   */
-  function takeUncertainRetry(): boolean {
+  function isRetryPermitted(): boolean {
     // A stream of events continues after the last delivered event, so another
     // attempt delivers no event twice.
     const canContinue = assembler !== undefined || !buffer.hasDelivered();
-    return canContinue && shared.attempts < maxAttempts && options.takeRetry();
+    return canContinue && shared.attempts < maxAttempts;
   }
 
   function retryUncertain(
@@ -270,21 +346,14 @@
   ): Effects {
     if (!request.isRepeatable) return finishUnknown(message);
     raiseRunStatus(state.isStarted ? "yes" : "unknown");
+    const continued = switchToReplacement();
+    if (continued !== undefined) return continued;
     shared.current = undefined;
-    return takeUncertainRetry()
+    return isRetryPermitted() && options.takeRetry()
       ? startNextAttempt()
       : finish({ kind: "failed", message, ran: shared.ran });
   }
 
-  function retryStalled(state: attemptState.AttemptState): Effects | undefined {
-    if (!takeUncertainRetry()) return undefined;
-    const choice = options.chooseUpstream(attemptedIds);
-    if (choice.kind === "none") return undefined;
-    raiseRunStatus(state.isStarted ? "yes" : "unknown");
-    shared.current = undefined;
-    return applyChoice(choice);
-  }
-
   function sendResume(state: attemptState.AttemptState): Effects {
     state.phase = "sent";
     const { upstream, attemptId, nextSequence } = state;
@@ -307,6 +376,7 @@
     buffer,
     eventAssembler: assembler,
     recorder,
+    attemptedIds,
     maxAttempts,
     raiseRunStatus,
     finish,
@@ -316,11 +386,17 @@
     resetStallTimer,
     startNextAttempt,
     startAttemptAt,
+    createAttempt,
+    resetAnswer,
+    addHead,
     dispatch,
     retryNotRun,
     retryUnsent,
     retryUncertain,
-    retryStalled,
+    isRetryPermitted,
+    withdrawSlotRequest,
+    switchToReplacement,
+    cancel,
     sendResume,
     sendSeal,
   };
--- a/packages/anvilhinge/src/entry/session/session_frames.ts
+++ b/packages/anvilhinge/src/entry/session/session_frames.ts
@@ -2,6 +2,7 @@
 import type * as frames from "../../ports/frames.ts";
 import * as attemptState from "./attempt_state.ts";
 import type * as sessionCore from "./session_core.ts";
+import type * as sessionReplacement from "./session_replacement.ts";
 import type * as types from "./session_types.ts";
 
 type Effects = sessionCore.Effects;
@@ -24,21 +25,15 @@
 }
 
 const defaultMaxResumes = 3;
-/** Lowest HTTP status that counts as a failure of the upstream. */
-const minFailureStatus = 500;
-
-function isFailure(status: number): boolean {
-  return status >= minFailureStatus;
-}
-
 /** Creates the handlers that operate on the given session core. */
 export function createFrameHandlers(
   core: sessionCore.SessionCore,
+  replacements: sessionReplacement.ReplacementHandlers,
 ): FrameHandlers {
   const { request, options, shared, buffer, recorder, eventAssembler } = core;
   const { observe, resetStallTimer, finishUnknown, sendResume, sendSeal } =
     core;
-  const { retryNotRun, retryUnsent, retryUncertain, retryStalled } = core;
+  const { retryNotRun, retryUnsent, retryUncertain, cancel } = core;
   const maxResumes = options.maxResumes ?? defaultMaxResumes;
 
   /** Resumes, seals or retries an attempt whose stream broke or stalled. */
@@ -59,12 +54,7 @@
         ? [...observed, ...finishUnknown(message)]
         : [...observed, ...sendSeal(state)];
     }
-    const { upstream, attemptId } = state;
-    return [
-      ...observed,
-      { kind: "cancel", upstream, attemptId },
-      ...retryUncertain(state, message),
-    ];
+    return [...observed, cancel(state), ...retryUncertain(state, message)];
   }
 
   function handleLost(
@@ -86,7 +76,10 @@
 
   function handleStall(): Effects {
     if (shared.current?.phase !== "sent") return [];
-    if (options.gate === "none") return handleDirectStall(shared.current);
+    // A stall alone does not end the answer.
+    if (options.gate === "none") {
+      return request.isRepeatable ? replacements.request() : [];
+    }
     // A slow attempt that must not run twice continues as long as its agent
     // answers the seal with `running`.
     return request.isRepeatable
@@ -98,22 +91,17 @@
       : sendSeal(shared.current);
   }
 
-  /**
-   * Retries at another upstream if possible; otherwise keeps waiting, because a
-   * stall alone does not end the answer.
-   */
-  function handleDirectStall(state: attemptState.AttemptState): Effects {
-    const retried = request.isRepeatable ? retryStalled(state) : undefined;
-    if (retried === undefined) return [];
-    const { upstream, attemptId } = state;
-    return [
-      ...observe(state, "lost", { cause: "stalled" }),
-      { kind: "cancel", upstream, attemptId },
-      ...retried,
-    ];
+  function handleFrame(frame: frames.Frame): Effects {
+    const isOfReplacement = frame.requestId === request.requestId &&
+      frame.attemptId === shared.replacement?.state.attemptId;
+    if (!isOfReplacement) return handleCurrentFrame(frame);
+    const { kind, effects } = replacements.handleFrame(frame);
+    return kind === "replaced"
+      ? [...effects, ...handleCurrentFrame(frame)]
+      : effects;
   }
 
-  function handleFrame(frame: frames.Frame): Effects {
+  function handleCurrentFrame(frame: frames.Frame): Effects {
     const state = shared.current;
     const isFollowed = state?.phase === "sent" || state?.phase === "sealing";
     if (
@@ -141,21 +129,18 @@
     state: attemptState.AttemptState,
     { body, sequence }: frames.Frame,
   ): Effects {
-    const { upstream, attemptId } = state;
+    const { upstream } = state;
     switch (body.kind) {
       case "accepted":
-        state.isStarted = true;
-        state.status = body.head.status;
-        recorder.setHead(body.head);
-        // A stream that continues at another upstream keeps the head that was
-        // already delivered.
-        if (!buffer.hasDelivered()) {
-          buffer.add({ kind: "head", head: body.head, upstream, attemptId });
-        }
-        return [resetStallTimer()];
+        core.addHead(state, body.head);
+        return [...replacements.withdraw("redundant"), resetStallTimer()];
       case "chunk":
         recorder.addData(body.data);
-        return [...applyData(state, body.data, sequence), resetStallTimer()];
+        return [
+          ...replacements.withdraw("redundant"),
+          ...applyData(state, body.data, sequence),
+          resetStallTimer(),
+        ];
       case "end":
         return handleEnd(state, body);
       case "refused":
@@ -182,7 +167,9 @@
     data: Uint8Array,
     sequence: number,
   ): Effects {
-    if (eventAssembler === undefined || isFailure(state.status)) {
+    if (
+      eventAssembler === undefined || attemptState.isFailureStatus(state.status)
+    ) {
       // Buffers the body of a failure, so that another attempt can replace it.
       const isBuffered = eventAssembler !== undefined;
       return [...buffer.add({ kind: "data", data, sequence }, { isBuffered })];
@@ -202,6 +189,9 @@
     body: Body<"end">,
   ): Effects {
     const failed = observe(state, "failed", body);
+    core.raiseRunStatus("yes");
+    const continued = core.switchToReplacement();
+    if (continued !== undefined) return [...failed, ...continued];
     const canRetry = request.isRepeatable &&
       shared.attempts < core.maxAttempts;
     // The failure's body must not follow the part of the stream that was
@@ -211,7 +201,6 @@
       return [...failed, ...retryUncertain(state, message)];
     }
     if (!canRetry || !options.takeRetry()) return complete(state, failed);
-    core.raiseRunStatus("yes");
     shared.current = undefined;
     return [...failed, ...core.startNextAttempt()];
   }
@@ -221,7 +210,9 @@
     body: Body<"end">,
   ): Effects {
     if (options.gate === "none") {
-      if (isFailure(state.status)) return handleFailureStatus(state, body);
+      if (attemptState.isFailureStatus(state.status)) {
+        return handleFailureStatus(state, body);
+      }
       if (eventAssembler?.hasIncompleteEvent()) {
         return handleBroken(state, "The answer ended inside an event");
       }
@@ -244,6 +235,7 @@
     }];
     return [
       ...observed,
+      ...replacements.withdraw("redundant"),
       ...settleEffects,
       ...buffer.takeAll(),
       { kind: "end" },
--- a/packages/anvilhinge/src/entry/session/session_types.ts
+++ b/packages/anvilhinge/src/entry/session/session_types.ts
@@ -84,6 +84,12 @@
   readonly chooseUpstream: (
     attemptedIds: ReadonlySet<string>,
   ) => UpstreamChoice;
+  /**
+   * Withdraws the slot request of a `wait` choice, or releases its slot if the
+   * slot was granted and no attempt was dispatched. Required if `chooseUpstream`
+   * returns `wait`.
+   */
+  readonly withdrawSlotRequest?: () => void;
   /** Takes one retry from the retry budget; false when it is exhausted. */
   readonly takeRetry: () => boolean;
   /**
@@ -169,12 +175,14 @@
 /**
  * Why the session ended an attempt before its answer was whole. `broken`: the
  * connection to the upstream or agent ended. `misplaced`: a part of the answer
- * was missing or repeated. `stalled`: another attempt replaced it.
+ * was missing or repeated. `stalled`: another attempt replaced it. `redundant`:
+ * the attempt that it was to replace went on.
  */
 export type AttemptEndCause =
   | "broken"
   | "misplaced"
   | "stalled"
+  | "redundant"
   | "deadline"
   | "caller_gone";
 
