--- a/packages/anvilhinge/src/entry/session/session_property_test.ts
+++ b/packages/anvilhinge/src/entry/session/session_property_test.ts
@@ -159,3 +159,182 @@
     expect(completed).toBeGreaterThan(100);
   });
 });
+
+const eventCount = 5;
+
+/** One input to a session of a stream without agents. */
+type StreamInput =
+  | AttemptInput
+  | { readonly kind: "stall" | "granted" | "denied" };
+
+interface AttemptInput {
+  readonly kind: "next" | "lost" | "refused" | "failed";
+  /** Selects one of the open attempts. */
+  readonly choice: number;
+}
+
+const choice = fc.integer({ min: 0, max: 1 });
+const streamInput: fc.Arbitrary<StreamInput> = fc.oneof(
+  { weight: 24, arbitrary: fc.record({ kind: fc.constant("next"), choice }) },
+  {
+    weight: 4,
+    arbitrary: fc.record({
+      kind: fc.constantFrom("lost", "refused", "failed"),
+      choice,
+    }),
+  },
+  { weight: 6, arbitrary: fc.record({ kind: fc.constant("stall") }) },
+  { weight: 12, arbitrary: fc.record({ kind: fc.constant("granted") }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant("denied") }) },
+) as fc.Arbitrary<StreamInput>;
+
+function formatEvent(id: number): string {
+  return `id: ${id}\ndata: ${id}\n\n`;
+}
+
+/** Frames of an answer that continues after an event. */
+function buildEvents(resumeAfter: string | undefined) {
+  const first = Number(resumeAfter ?? 0) + 1;
+  const chunks = Array.from(
+    { length: eventCount - first + 1 },
+    (_, index) => sessionDriver.createChunk(formatEvent(first + index)),
+  );
+  const end = sessionDriver.createEnd(chunks.length + 2);
+  return [sessionDriver.accepted, ...chunks, end];
+}
+
+/** Session of a stream whose choices either wait for a slot or are immediate. */
+function createStreamDriver(isWaiting: boolean) {
+  let isSlotRequested = false;
+  const ended = new Set<string>();
+  const nextByAttempt = new Map<string, number>();
+  const driver = sessionDriver.createDriver({
+    request: { isRepeatable: true, delivery: "events" },
+    options: {
+      gate: "none",
+      maxAttempts: attemptCount,
+      chooseUpstream(attemptedIds) {
+        if (isWaiting) {
+          isSlotRequested = true;
+          return { kind: "wait" };
+        }
+        const upstream = sessionDriver.createUpstream(attemptedIds.size);
+        return { kind: "chosen", upstream };
+      },
+      withdrawSlotRequest: () => void (isSlotRequested = false),
+    },
+  });
+
+  function listOpen(): readonly string[] {
+    const cancelled = driver.listEffects("cancel");
+    return driver.listEffects("dispatch")
+      .map((effect) => effect.attempt.attemptId)
+      .filter((id) =>
+        !ended.has(id) && !cancelled.some(({ attemptId }) => attemptId === id)
+      );
+  }
+
+  function buildBody(kind: AttemptInput["kind"], attemptId: string) {
+    if (kind === "refused") return sessionDriver.createRefusal("overloaded");
+    if (kind === "failed") {
+      const load = sessionDriver.noLoad;
+      return { kind, message: "broken", load } as const;
+    }
+    const dispatched = driver.listEffects("dispatch")
+      .find((effect) => effect.attempt.attemptId === attemptId);
+    const next = nextByAttempt.get(attemptId) ?? 0;
+    return buildEvents(dispatched?.attempt.resumeAfter)[next];
+  }
+
+  function feedSlot(kind: "granted" | "denied"): void {
+    if (!isSlotRequested) return;
+    isSlotRequested = false;
+    driver.feed(
+      kind === "denied"
+        ? { kind, reason: "full", retryAfterMs: 0 }
+        : { kind, upstream: sessionDriver.createUpstream(9) },
+    );
+  }
+
+  function feedAttempt({ kind, choice }: AttemptInput): void {
+    const open = listOpen();
+    const attemptId = open[choice % open.length];
+    if (attemptId === undefined) return;
+    if (kind === "lost") {
+      ended.add(attemptId);
+      driver.feed({ kind, attemptId, sent: true, message: "broken" });
+      return;
+    }
+    const next = nextByAttempt.get(attemptId) ?? 0;
+    // An answer that has begun can't be refused any more.
+    if (kind === "refused" && next > 0) return;
+    const body = buildBody(kind, attemptId);
+    if (body === undefined) return;
+    nextByAttempt.set(attemptId, next + 1);
+    if (body.kind !== "accepted" && body.kind !== "chunk") ended.add(attemptId);
+    driver.feedFrame(Number(attemptId.slice(1)), next, { body });
+  }
+
+  return {
+    driver,
+    listOpen,
+    isSlotRequested: () => isSlotRequested,
+    feed(input: StreamInput): void {
+      if (driver.session.isDone()) return;
+      switch (input.kind) {
+        case "stall":
+          return driver.feed({ kind: "timer", name: "stall" });
+        case "granted":
+        case "denied":
+          return feedSlot(input.kind);
+        default:
+          return feedAttempt(input);
+      }
+    },
+  };
+}
+
+describe.each([["waits for a slot", true], ["is immediate", false]])(
+  "when the choice of an upstream %s, a stream",
+  (_, isWaiting) => {
+    it("is in order, and broken off only when no attempt is left", () => {
+      const counts = { completed: 0, failed: 0, replaced: 0 };
+      fc.assert(
+        fc.property(
+          fc.array(streamInput, { minLength: 10, maxLength: 60, size: "max" }),
+          (inputs) => {
+            const { driver, ...stream } = createStreamDriver(isWaiting);
+            for (const input of inputs) stream.feed(input);
+            const ids = Array.from({ length: eventCount }, (_, n) => n + 1);
+            const whole = ids.map(formatEvent).join("");
+            expect(whole.startsWith(driver.getText())).toBe(true);
+            const answers = driver.listEffects("answer");
+            const ends = driver.listEffects("end");
+            expect(answers.length + ends.length)
+              .toBe(driver.session.isDone() ? 1 : 0);
+            if (ends.length === 1) {
+              counts.completed += 1;
+              expect(driver.getText()).toBe(whole);
+            }
+            if (answers.length === 1) {
+              counts.failed += 1;
+              expect(stream.listOpen()).toEqual([]);
+            }
+            if (!driver.session.isDone()) {
+              const open = stream.listOpen().length;
+              expect(open).toBeLessThanOrEqual(2);
+              expect(open > 0 || stream.isSlotRequested()).toBe(true);
+            }
+            counts.replaced += driver.listEffects("observe")
+              .filter(({ cause }) => cause === "stalled").length;
+          },
+        ),
+        { seed, numRuns: 1_500 },
+      );
+      // Ensures that the inputs reach each outcome often.
+      for (const count of Object.values(counts)) {
+        expect(count).toBeGreaterThan(100);
+      }
+    });
+  },
+);
