--- a/packages/anvilhinge/src/entry/routed_entry.ts
+++ b/packages/anvilhinge/src/entry/routed_entry.ts
@@ -3,9 +3,8 @@
  * the entry calls upstreams directly, without agents. Composes the components
  * and runs their life cycle.
  */
-import * as nodeCrypto from "node:crypto";
 import * as http from "node:http";
-import * as random from "@anvilhinge/coordination/random";
+import type * as random from "@anvilhinge/coordination/random";
 import * as abortSignal from "../adapters/abort_signal.ts";
 import * as hostPort from "../adapters/address.ts";
 import * as datagrams from "../adapters/datagrams.ts";
@@ -58,6 +57,8 @@
   readonly settings: routedProcess.RoutedEntrySettings;
   readonly platform: RoutedPlatform;
   readonly reload: reload.SettingsReloader<routedProcess.RoutedEntrySettings>;
+  /** Its sequence determines the choice between equal upstreams. */
+  readonly random: random.RandomSource;
   /** Starts a graceful stop when it aborts. */
   readonly signal: AbortSignal;
 }
@@ -119,9 +120,6 @@
     clock,
     readWallMs: Date.now,
   });
-  const randomSource = random.createRandomSource(
-    nodeCrypto.randomInt(2 ** 31),
-  );
   const log = routedLogger.createRoutedLogger({
     component: "entry",
     level: settings.log.level,
@@ -195,7 +193,7 @@
       windowMs: settings.bounds.retryWindowMs,
     },
     scheduler: clock,
-    random: randomSource,
+    random: options.random,
     logger: log,
     metrics: entryMetrics,
     sockets,
@@ -213,7 +211,7 @@
     }),
     scheduler: clock,
     elapsed,
-    random: randomSource,
+    random: options.random,
     logger: log,
     signal: abort.signal,
     isHub: roster.isHub,
@@ -236,7 +234,7 @@
         dialect: platform.upstreamDialect,
       }),
       scheduler: clock,
-      random: randomSource,
+      random: options.random,
       logger: log,
       metrics: entryMetrics,
       state,
