--- a/packages/anvilhinge/src/entry/session/session_property_test.ts
+++ b/packages/anvilhinge/src/entry/session/session_property_test.ts
@@ -275,21 +275,32 @@
     driver.feedFrame(Number(attemptId.slice(1)), next, { body });
   }
 
+  function feedInput(input: StreamInput): void {
+    switch (input.kind) {
+      case "stall":
+        return driver.feed({ kind: "timer", name: "stall" });
+      case "granted":
+      case "denied":
+        return feedSlot(input.kind);
+      default:
+        return feedAttempt(input);
+    }
+  }
+
   return {
     driver,
     listOpen,
     isSlotRequested: () => isSlotRequested,
     feed(input: StreamInput): void {
       if (driver.session.isDone()) return;
-      switch (input.kind) {
-        case "stall":
-          return driver.feed({ kind: "timer", name: "stall" });
-        case "granted":
-        case "denied":
-          return feedSlot(input.kind);
-        default:
-          return feedAttempt(input);
-      }
+      const openBefore = listOpen();
+      feedInput(input);
+      const open = listOpen();
+      const isCancelled = openBefore.some((id) =>
+        !open.includes(id) && !ended.has(id)
+      );
+      if (!isCancelled || driver.listEffects("end").length > 0) return;
+      expect(openBefore.some((id) => open.includes(id))).toBe(true);
     },
   };
 }
