--- a/packages/anvilhinge/src/entry/choice/routed_policy.ts
+++ b/packages/anvilhinge/src/entry/choice/routed_policy.ts
@@ -119,12 +119,10 @@
 interface TrackedUpstream {
   readonly listed: routing.ListedUpstream;
   readonly upstream: session.Upstream;
-  openAttempts: number;
 }
 
 /** An attempt that has not ended. */
 interface OpenAttempt {
-  readonly tracked: TrackedUpstream | undefined;
   /** Key of the slot that it occupies; undefined without an engine. */
   readonly slotKey: string | undefined;
   readonly record: AttemptRecord;
@@ -157,6 +155,8 @@
 ): RoutedPolicy {
   const { scheduler: clock, retries } = options;
   const tracked = new Map<string, TrackedUpstream>();
+  /** Number of open attempts by upstream id, also of unlisted upstreams. */
+  const openCounts = new Map<string, number>();
   const services = new Map<string, routing.ServiceSpec>();
   let routes: readonly routing.Route[] = [];
   /** Requests that wait for a slot, by the key of their slot request. */
@@ -212,6 +212,16 @@
     request.resolve({ kind: "granted", upstream }, event.by);
   }
 
+  function countOpen(upstreamId: string): number {
+    return openCounts.get(upstreamId) ?? 0;
+  }
+
+  function addOpen(upstreamId: string, change: 1 | -1): void {
+    const count = countOpen(upstreamId) + change;
+    if (count === 0) openCounts.delete(upstreamId);
+    else openCounts.set(upstreamId, count);
+  }
+
   function listUsable(service: string): readonly TrackedUpstream[] {
     return [...tracked.values()].filter(({ listed }) =>
       listed.service === service && listed.state === "serving"
@@ -273,10 +283,10 @@
     );
     const candidates = healthy.length > 0 ? healthy : usable;
     const leastOpen = Math.min(
-      ...candidates.map((candidate) => candidate.openAttempts),
+      ...candidates.map(({ listed }) => countOpen(listed.id)),
     );
-    const best = candidates.filter((candidate) =>
-      candidate.openAttempts === leastOpen
+    const best = candidates.filter(({ listed }) =>
+      countOpen(listed.id) === leastOpen
     );
     const chosen = best[Math.floor(options.random() * best.length)];
     if (chosen === undefined) {
@@ -311,7 +321,7 @@
       const attempt = openAttempts.get(upstreamId);
       if (attempt === undefined) return undefined;
       openAttempts.delete(upstreamId);
-      if (attempt.tracked !== undefined) attempt.tracked.openAttempts -= 1;
+      addOpen(upstreamId, -1);
       if (attempt.slotKey !== undefined) slots.drop(attempt.slotKey);
       return attempt.record;
     }
@@ -383,16 +393,11 @@
       recordDispatch(upstream) {
         const record = { upstream: upstream.id, sentMs: measureElapsed() };
         attempts.push(record);
-        const trackedUpstream = tracked.get(upstream.id);
-        if (trackedUpstream !== undefined) trackedUpstream.openAttempts += 1;
+        addOpen(upstream.id, 1);
         upstreamHealth.recordSent(upstream.id);
         const slotKey = waitingKey;
         waitingKey = undefined;
-        openAttempts.set(upstream.id, {
-          tracked: trackedUpstream,
-          slotKey,
-          record,
-        });
+        openAttempts.set(upstream.id, { slotKey, record });
         if (slotKey === undefined) return;
         slots.recordStart({
           key: slotKey,
@@ -445,11 +450,7 @@
           half: "",
           epoch: 0,
         };
-        tracked.set(id, {
-          listed,
-          upstream,
-          openAttempts: tracked.get(id)?.openAttempts ?? 0,
-        });
+        tracked.set(id, { listed, upstream });
       }
       for (const [service, members] of pools) {
         upstreamHealth.setPool(service, { members, maxEjectedShare });
--- a/packages/anvilhinge/src/entry/choice/routed_policy_test.ts
+++ b/packages/anvilhinge/src/entry/choice/routed_policy_test.ts
@@ -268,3 +268,22 @@
   scheduler.advance(50);
   expect(second.decisions).toEqual(["u1"]);
 });
+
+test("an open attempt is released although the upstreams were listed again", () => {
+  const listed = ["u1", "u2"].map((id) =>
+    createListed(id, { service: "registry" })
+  );
+  const { policy, start } = createPolicy(listed);
+  const chooseNext = (requestId: string) => {
+    const { requestPolicy } = start(requestId, "registry");
+    const choice = requestPolicy.chooseUpstream(new Set());
+    if (choice.kind !== "chosen") throw new Error(choice.kind);
+    requestPolicy.recordDispatch(choice.upstream);
+    return { requestPolicy, id: choice.upstream.id };
+  };
+  const first = chooseNext("r1");
+  policy.setUpstreams(listed);
+  first.requestPolicy.end();
+  // Both upstreams are idle, so the choice is the same again.
+  expect(chooseNext("r2").id).toBe(first.id);
+});
