--- a/packages/anvilhinge/src/entry/choice/routed_policy.ts
+++ b/packages/anvilhinge/src/entry/choice/routed_policy.ts
@@ -415,7 +415,9 @@
           record.outcome = outcome;
           record.cause = cause;
         }
-        upstreamHealth.recordOutcome(upstream.id, outcome);
+        if (outcome !== "abandoned") {
+          upstreamHealth.recordOutcome(upstream.id, outcome);
+        }
       },
       end() {
         for (const id of [...openAttempts.keys()]) releaseAttempt(id);
--- a/packages/anvilhinge/src/entry/session/attempt_state.ts
+++ b/packages/anvilhinge/src/entry/session/attempt_state.ts
@@ -23,6 +23,8 @@
   resumes: number;
   /** True when the attempt is known to have started. */
   isStarted: boolean;
+  /** True from a stall until the next frame. */
+  isStalled: boolean;
   /** HTTP status of the answer; 0 until it arrives. */
   status: number;
   /** True when the end was reported, or when another entry reports it. */
@@ -49,6 +51,7 @@
     nextSequence: 0,
     resumes: 0,
     isStarted: false,
+    isStalled: false,
     status: 0,
     isObserved: false,
   };
--- a/packages/anvilhinge/src/entry/session/session.ts
+++ b/packages/anvilhinge/src/entry/session/session.ts
@@ -116,7 +116,8 @@
     if (isRecorded) return [];
     shared.isDone = true;
     shared.current = undefined;
-    const observed = observe(state, "completed", { cause: "caller_gone" });
+    const outcome = state.isStalled ? "lost" : "completed";
+    const observed = observe(state, outcome, { cause: "caller_gone" });
     // A caller that has received data may resume the stream at another entry.
     // The agent ends an attempt that no entry has followed for some time.
     if (request.delivery === "streamed" && buffer.hasDelivered()) {
--- a/packages/anvilhinge/src/entry/session/session_direct_test.ts
+++ b/packages/anvilhinge/src/entry/session/session_direct_test.ts
@@ -387,6 +387,24 @@
     expect(driver.session.isDone()).toBe(true);
   });
 
+  it.each([["lost", false], ["completed", true]])(
+    "is observed as %s when its caller disconnects",
+    (outcome, hasProgress) => {
+      const driver = createReplaced({ chooseUpstream: chooseThenWait() });
+      if (hasProgress) feedEvent(driver, { attempt: 1, sequence: 2, id: 2 });
+      driver.feed({ kind: "caller_gone" });
+      expect(driver.listEffects("observe")).toMatchObject([{ outcome }]);
+    },
+  );
+
+  it("says nothing about the upstream of a replacement that is not needed", () => {
+    const driver = createReplaced();
+    feedEvent(driver, { attempt: 1, sequence: 2, id: 2 });
+    expect(driver.listEffects("observe")).toMatchObject([
+      { outcome: "abandoned", cause: "redundant", upstream: { id: "g/1" } },
+    ]);
+  });
+
   it("takes a retry only for a granted slot and releases it without one", () => {
     let taken = 0;
     let withdrawn = 0;
--- a/packages/anvilhinge/src/entry/session/session_frames.ts
+++ b/packages/anvilhinge/src/entry/session/session_frames.ts
@@ -78,6 +78,7 @@
     if (shared.current?.phase !== "sent") return [];
     // A stall alone does not end the answer.
     if (options.gate === "none") {
+      shared.current.isStalled = true;
       return request.isRepeatable ? replacements.request() : [];
     }
     // A slow attempt that must not run twice continues as long as its agent
@@ -122,6 +123,7 @@
       return [drop, ...handleBroken(state, "The answer has gaps", "misplaced")];
     }
     state.nextSequence += 1;
+    state.isStalled = false;
     return applyFrame(state, frame);
   }
 
--- a/packages/anvilhinge/src/entry/session/session_replacement.ts
+++ b/packages/anvilhinge/src/entry/session/session_replacement.ts
@@ -143,7 +143,7 @@
     handleLost: () => [...failReplacement("lost", { cause: "broken" }).effects],
     withdraw(cause) {
       core.withdrawSlotRequest();
-      const outcome = cause === "deadline" ? "lost" : "completed";
+      const outcome = cause === "deadline" ? "lost" : "abandoned";
       return endReplacement(outcome, { cause });
     },
   };
--- a/packages/anvilhinge/src/entry/session/session_types.ts
+++ b/packages/anvilhinge/src/entry/session/session_types.ts
@@ -287,12 +287,19 @@
   /**
    * Report the end of an attempt, for the health and load of the upstream.
    * `completed` includes attempts that the session ended before their dispatch,
-   * and attempts whose caller disconnected.
+   * and attempts that made progress until their caller disconnected.
+   * `abandoned`: the session ended the attempt for a reason unrelated to the
+   * upstream.
    */
   | {
     readonly kind: "observe";
     readonly upstream: Upstream;
-    readonly outcome: "completed" | "refused" | "failed" | "lost";
+    readonly outcome:
+      | "completed"
+      | "refused"
+      | "failed"
+      | "lost"
+      | "abandoned";
     readonly load?: engine.EngineLoad;
     readonly cause?: AttemptEndCause;
   }
