--- a/packages/anvilhinge/src/entry/session/session.ts
+++ b/packages/anvilhinge/src/entry/session/session.ts
@@ -30,8 +30,8 @@
   const replacements = sessionReplacement.createReplacementHandlers(core);
   const { handlePrepared, handleClaimAnswer, handleFound } = sessionClaims
     .createClaimHandlers(core);
-  const { handleFrame, handleLost, handleStall, handleSealAnswer } =
-    sessionFrames.createFrameHandlers(core, replacements);
+  const frameHandlers = sessionFrames.createFrameHandlers(core, replacements);
+  const { handleFrame, handleLost, handleSealAnswer } = frameHandlers;
 
   function startFirstAttempt(): Effects {
     const resumePoint = options.resumePoint;
@@ -57,7 +57,7 @@
     const message = "The deadline passed before the answer was complete";
     const state = shared.current;
     if (state === undefined) {
-      return shared.isWaiting
+      return shared.isWaiting || shared.isSlotDelayed
         ? finishNotRun(message, 0)
         // The lookup of an earlier submission's claim is still in progress.
         : finishUnknown(message);
@@ -103,7 +103,7 @@
   function handleCallerGone(): Effects {
     const state = shared.current;
     if (state === undefined) {
-      if (shared.isWaiting) shared.isDone = true;
+      if (shared.isWaiting || shared.isSlotDelayed) shared.isDone = true;
       return [];
     }
     if (state.phase === "preparing" || state.phase === "claiming") {
@@ -144,9 +144,10 @@
     >,
   ): Effects {
     if (!shared.isWaiting) return [];
-    return shared.current === undefined
-      ? finishNotRun(reason, retryAfterMs)
-      : replacements.handleDenied();
+    // A stream that has begun would be broken off by a final answer.
+    return shared.current !== undefined || buffer.hasDelivered()
+      ? core.scheduleSlotRequest(retryAfterMs)
+      : finishNotRun(reason, retryAfterMs);
   }
 
   function isCurrent(attemptId: string, phase: attemptState.Phase): boolean {
@@ -163,6 +164,58 @@
     ];
   }
 
+  function handleTimer(name: types.TimerName): Effects {
+    switch (name) {
+      case "deadline":
+        return handleDeadline();
+      case "stall":
+        return frameHandlers.handleStall();
+      case "slot":
+        return frameHandlers.handleSlotTimer();
+    }
+  }
+
+  function handleEvent(event: types.SessionEvent): Effects {
+    switch (event.kind) {
+      case "arrived":
+        return startRequest();
+      case "prepared":
+        return shared.current !== undefined &&
+            isCurrent(event.attemptId, "preparing")
+          ? handlePrepared(shared.current, event.outcome)
+          : [];
+      case "granted":
+        return handleGranted(event.upstream);
+      case "denied":
+        return handleDenied(event);
+      case "claim_answered":
+        return shared.current !== undefined &&
+            isCurrent(event.attemptId, "claiming")
+          ? handleClaimAnswer(shared.current, event.result)
+          : [];
+      case "found":
+        return handleFound(event.result);
+      case "frame":
+        return handleFrame(event.frame);
+      case "lost":
+        if (shared.replacement?.state.attemptId === event.attemptId) {
+          return replacements.handleLost(event);
+        }
+        return shared.current?.attemptId === event.attemptId
+          ? handleLost(shared.current, event)
+          : [];
+      case "seal_answered":
+        return shared.current !== undefined &&
+            isCurrent(event.attemptId, "sealing")
+          ? handleSealAnswer(shared.current, event.outcome)
+          : [];
+      case "timer":
+        return handleTimer(event.name);
+      case "caller_gone":
+        return handleCallerGone();
+    }
+  }
+
   return {
     isDone: () => shared.isDone,
     handle(event) {
@@ -171,44 +224,8 @@
           ? [{ kind: "drop", frame: event.frame }]
           : [];
       }
-      switch (event.kind) {
-        case "arrived":
-          return startRequest();
-        case "prepared":
-          return shared.current !== undefined &&
-              isCurrent(event.attemptId, "preparing")
-            ? handlePrepared(shared.current, event.outcome)
-            : [];
-        case "granted":
-          return handleGranted(event.upstream);
-        case "denied":
-          return handleDenied(event);
-        case "claim_answered":
-          return shared.current !== undefined &&
-              isCurrent(event.attemptId, "claiming")
-            ? handleClaimAnswer(shared.current, event.result)
-            : [];
-        case "found":
-          return handleFound(event.result);
-        case "frame":
-          return handleFrame(event.frame);
-        case "lost":
-          if (shared.replacement?.state.attemptId === event.attemptId) {
-            return replacements.handleLost();
-          }
-          return shared.current?.attemptId === event.attemptId
-            ? handleLost(shared.current, event)
-            : [];
-        case "seal_answered":
-          return shared.current !== undefined &&
-              isCurrent(event.attemptId, "sealing")
-            ? handleSealAnswer(shared.current, event.outcome)
-            : [];
-        case "timer":
-          return event.name === "deadline" ? handleDeadline() : handleStall();
-        case "caller_gone":
-          return handleCallerGone();
-      }
+      const effects = handleEvent(event);
+      return [...effects, ...frameHandlers.handleQueuedFrames()];
     },
   };
 }
--- a/packages/anvilhinge/src/entry/session/session_core.ts
+++ b/packages/anvilhinge/src/entry/session/session_core.ts
@@ -3,6 +3,7 @@
  * starting, retrying and finishing attempts.
  */
 import type * as engine from "../../ports/engine.ts";
+import type * as frames from "../../ports/frames.ts";
 import * as answerBuffer from "./answer_buffer.ts";
 import * as attemptState from "./attempt_state.ts";
 import * as eventAssembler from "./event_assembler.ts";
@@ -27,8 +28,12 @@
 /** Attempt that is to replace the current, stalled attempt. */
 export interface Replacement {
   readonly state: attemptState.AttemptState;
-  /** Head of its answer, until the answer's first data arrives. */
-  head?: engine.AnswerHead;
+  /** Frames of its answer, of which nothing was delivered. */
+  readonly frames: frames.Frame[];
+  /** Number of data bytes in the frames. */
+  frameBytes: number;
+  /** Checks the events of its answer; undefined unless delivery is `events`. */
+  readonly assembler: eventAssembler.EventAssembler | undefined;
 }
 
 /** Mutable state of one session, shared by its handlers. */
@@ -38,6 +43,10 @@
   current: attemptState.AttemptState | undefined;
   /** Undefined unless the current attempt has stalled. */
   replacement: Replacement | undefined;
+  /** Id of the attempt that delivered the last data; undefined before. */
+  deliveringId: string | undefined;
+  /** Frames that the current attempt received while it was the replacement. */
+  queuedFrames: readonly frames.Frame[];
   /** Latest attempt proven never to run; a new claim replaces its claim. */
   notRunAttemptId: string | undefined;
   /**
@@ -57,6 +66,8 @@
    * or, if there is a current attempt, for the replacement of that attempt.
    */
   isWaiting: boolean;
+  /** True while the next slot request is delayed after a refusal. */
+  isSlotDelayed: boolean;
   isDone: boolean;
 }
 
@@ -71,6 +82,8 @@
   /** Ids of the upstreams attempted so far. */
   readonly attemptedIds: ReadonlySet<string>;
   readonly maxAttempts: number;
+  /** Maximum number of bytes of an answer that are kept back. */
+  readonly maxBufferedBytes: number;
   /**
    * Merges the run status of one attempt into that of the request: `yes`
    * overrides `unknown`, which overrides `no`.
@@ -91,12 +104,6 @@
   startNextAttempt(): Effects;
   /** Starts an attempt at the given upstream. */
   startAttemptAt(upstream: types.Upstream): Effects;
-  /** Creates an attempt at the given upstream without dispatching it. */
-  createAttempt(upstream: types.Upstream): attemptState.AttemptState;
-  /** Discards undelivered parts of the answer, for those of another attempt. */
-  resetAnswer(): void;
-  /** Adds the head of the current attempt's answer. */
-  addHead(state: attemptState.AttemptState, head: engine.AnswerHead): void;
   /** Dispatches a prepared attempt. */
   dispatch(state: attemptState.AttemptState): Effects;
   /** Retries or finishes after an attempt that certainly did not run. */
@@ -116,10 +123,20 @@
    * from the retry budget.
    */
   isRetryPermitted(): boolean;
+  /** Whether the attempt continues an answer that another attempt began. */
+  isContinuation(state: attemptState.AttemptState): boolean;
+  /** Whether the attempt's answer is a failure of its upstream. */
+  isFailedAnswer(state: attemptState.AttemptState): boolean;
   /** Withdraws the slot request, if there is one. */
   withdrawSlotRequest(): void;
+  /** Delays the next slot request after a refusal. */
+  scheduleSlotRequest(retryAfterMs: number): Effects;
+  /** Creates the replacement of the current attempt without dispatching it. */
+  createReplacement(upstream: types.Upstream): Replacement;
+  /** Whether another upstream may be attempted after an unsent attempt. */
+  isUnsentRetryPermitted(): boolean;
   /**
-   * Makes the replacement the current attempt, after the current attempt ended.
+   * Makes the replacement the current attempt in place of one that has ended.
    * Returns undefined if there is no replacement.
    */
   switchToReplacement(): Effects | undefined;
@@ -135,6 +152,8 @@
  */
 const maxAttemptedUpstreams = 4;
 const defaultStallMs = 5_000;
+/** Minimum delay of a slot request after a refusal. */
+const minSlotRetryMs = 100;
 const defaultWholeAnswerLimitBytes = 8 * 1024 * 1024;
 
 /** Creates the core of a session that has not started. */
@@ -144,10 +163,12 @@
 ): SessionCore {
   const maxAttempts = options.maxAttempts ?? defaultMaxAttempts;
   const stallMs = options.stallMs ?? defaultStallMs;
+  const maxBufferedBytes = options.wholeAnswerLimitBytes ??
+    defaultWholeAnswerLimitBytes;
   const buffer = answerBuffer.createAnswerBuffer({
     isStreamed: request.delivery !== "whole" ||
       options.resumePoint !== undefined,
-    limitBytes: options.wholeAnswerLimitBytes ?? defaultWholeAnswerLimitBytes,
+    limitBytes: maxBufferedBytes,
   });
   const recorder = answerBuffer.createAnswerRecorder();
   const assembler = request.delivery === "events"
@@ -158,11 +179,14 @@
     attempts: 0,
     current: undefined,
     replacement: undefined,
+    deliveringId: undefined,
+    queuedFrames: [],
     notRunAttemptId: undefined,
     hasNoEarlierRun: request.isRepeatable || !request.isNamed,
     pendingNotRun: undefined,
     ran: "no",
     isWaiting: false,
+    isSlotDelayed: false,
     isDone: false,
   };
 
@@ -222,8 +246,15 @@
     shared.isWaiting = false;
   }
 
+  function scheduleSlotRequest(retryAfterMs: number): Effects {
+    shared.isWaiting = false;
+    shared.isSlotDelayed = true;
+    const delayMs = Math.max(minSlotRetryMs, retryAfterMs);
+    return [{ kind: "set_timer", name: "slot", delayMs }];
+  }
+
   function startNextAttempt(): Effects {
-    withdrawSlotRequest();
+    if (shared.isWaiting) return [];
     if (request.deadlineAtMs <= options.clock.now()) {
       const reason = "The deadline passed before an upstream was found";
       return finishNotRun(reason, 0);
@@ -251,6 +282,7 @@
     return attemptState.createAttemptState(options.createAttemptId(), upstream);
   }
 
+  /** Discards undelivered parts of the answer, for those of another attempt. */
   function resetAnswer(): void {
     buffer.restart();
     recorder.restart();
@@ -268,29 +300,27 @@
       : [{ kind: "prepare", upstream, attemptId }];
   }
 
-  function addHead(
-    state: attemptState.AttemptState,
-    head: engine.AnswerHead,
-  ): void {
-    const { upstream, attemptId } = state;
-    state.isStarted = true;
-    state.status = head.status;
-    recorder.setHead(head);
-    // A stream that continues at another upstream keeps the head that was
-    // already delivered.
-    if (!buffer.hasDelivered()) {
-      buffer.add({ kind: "head", head, upstream, attemptId });
-    }
+  function createReplacement(upstream: types.Upstream): Replacement {
+    const state = createAttempt(upstream);
+    return {
+      state,
+      frames: [],
+      frameBytes: 0,
+      assembler: assembler === undefined
+        ? undefined
+        : eventAssembler.createEventAssembler(assembler.getLastId()),
+    };
   }
 
   function switchToReplacement(): Effects | undefined {
     const { replacement } = shared;
     if (replacement === undefined) return undefined;
-    shared.current = replacement.state;
+    const { state } = replacement;
+    shared.current = state;
     shared.replacement = undefined;
+    shared.queuedFrames = replacement.frames;
+    state.nextSequence = 0;
     resetAnswer();
-    const { state, head } = replacement;
-    if (head !== undefined) addHead(state, head);
     return [resetStallTimer()];
   }
 
@@ -320,6 +350,10 @@
     return mayRetry ? startNextAttempt() : finishNotRun(reason, retryAfterMs);
   }
 
+  function isUnsentRetryPermitted(): boolean {
+    return attemptedIds.size < maxAttemptedUpstreams;
+  }
+
   function retryUnsent(reason: string): Effects {
     if (options.gate !== "none") return retryNotRun(reason, 0);
     // No upstream received the attempt, so it counts neither as a retry nor as
@@ -328,11 +362,20 @@
     const continued = switchToReplacement();
     if (continued !== undefined) return continued;
     shared.current = undefined;
-    return attemptedIds.size < maxAttemptedUpstreams
+    return isUnsentRetryPermitted()
       ? startNextAttempt()
       : finishNotRun(reason, 0);
   }
 
+  function isContinuation({ attemptId }: attemptState.AttemptState): boolean {
+    return assembler !== undefined && shared.deliveringId !== undefined &&
+      shared.deliveringId !== attemptId;
+  }
+
+  function isFailedAnswer(state: attemptState.AttemptState): boolean {
+    return attemptState.isFailureStatus(state.status);
+  }
+
   function isRetryPermitted(): boolean {
     // A stream of events continues after the last delivered event, so another
     // attempt delivers no event twice.
@@ -378,6 +421,7 @@
     recorder,
     attemptedIds,
     maxAttempts,
+    maxBufferedBytes,
     raiseRunStatus,
     finish,
     finishNotRun,
@@ -386,15 +430,17 @@
     resetStallTimer,
     startNextAttempt,
     startAttemptAt,
-    createAttempt,
-    resetAnswer,
-    addHead,
     dispatch,
     retryNotRun,
     retryUnsent,
     retryUncertain,
+    isContinuation,
+    isFailedAnswer,
     isRetryPermitted,
     withdrawSlotRequest,
+    scheduleSlotRequest,
+    createReplacement,
+    isUnsentRetryPermitted,
     switchToReplacement,
     cancel,
     sendResume,
--- a/packages/anvilhinge/src/entry/session/session_direct_test.ts
+++ b/packages/anvilhinge/src/entry/session/session_direct_test.ts
@@ -97,7 +97,10 @@
   expect(listCancelled(repeatableDriver)).toEqual([]);
   repeatableDriver.feedFrame(2, 0, { body: createHead(200) });
   repeatableDriver.feedFrame(2, 1, { body: sessionDriver.createChunk("x") });
+  expect(listCancelled(repeatableDriver)).toEqual([]);
+  repeatableDriver.feedFrame(2, 2, { body: sessionDriver.createEnd(3) });
   expect(listCancelled(repeatableDriver)).toEqual(["a1"]);
+  expect(repeatableDriver.getText()).toBe("x");
 });
 
 test.each([
@@ -451,3 +454,190 @@
     expect(driver.getText()).toBe(createEvent(1) + createEvent(2));
   });
 });
+
+describe("one of two open attempts", () => {
+  const whole = repeatable;
+
+  function feedChunk(
+    driver: sessionDriver.Driver,
+    { attempt, sequence, text }: {
+      readonly attempt: number;
+      readonly sequence: number;
+      readonly text: string;
+    },
+  ): void {
+    const body = sessionDriver.createChunk(text);
+    driver.feedFrame(attempt, sequence, { body });
+  }
+
+  /** Creates a whole answer whose first attempt stalled before its head. */
+  function createStalledWhole(): sessionDriver.Driver {
+    const driver = createDriver(whole);
+    driver.feed({ kind: "timer", name: "stall" });
+    return driver;
+  }
+
+  function createStalledStream(
+    options: Partial<session.SessionOptions> = {},
+  ): sessionDriver.Driver {
+    const driver = createDriver(stream, options);
+    feedStall(driver);
+    return driver;
+  }
+
+  /** Ends the first attempt of a stalled stream after event 2. */
+  function expectStalledToFinish(driver: sessionDriver.Driver): void {
+    feedChunk(driver, { attempt: 1, sequence: 2, text: createEvent(2) });
+    driver.feedFrame(1, 3, { body: sessionDriver.createEnd(4) });
+    expect(driver.getText()).toBe(createEvent(1) + createEvent(2));
+    expect(driver.listEffects("end")).toHaveLength(1);
+    expect(listAnswers(driver)).toEqual([]);
+  }
+
+  it("answers a failure: a whole answer is taken from the other", () => {
+    const driver = createStalledWhole();
+    driver.feedFrame(2, 0, { body: createHead(200) });
+    driver.feedFrame(1, 0, { body: createHead(500) });
+    driver.feedFrame(1, 1, { body: sessionDriver.createEnd(2) });
+    expect(driver.listEffects("head")).toEqual([]);
+    feedChunk(driver, { attempt: 2, sequence: 1, text: "sound" });
+    driver.feedFrame(2, 2, { body: sessionDriver.createEnd(3) });
+    expect(driver.listEffects("head").map(({ head }) => head.status))
+      .toEqual([200]);
+    expect(driver.getText()).toBe("sound");
+  });
+
+  it("sends only a head: a whole answer is taken from the first that ends", () => {
+    const driver = createStalledWhole();
+    driver.feedFrame(2, 0, { body: createHead(200) });
+    driver.feedFrame(1, 0, { body: createHead(200) });
+    feedChunk(driver, { attempt: 1, sequence: 1, text: "begun" });
+    expect(listCancelled(driver)).toEqual([]);
+    feedChunk(driver, { attempt: 2, sequence: 1, text: "whole" });
+    driver.feedFrame(2, 2, { body: sessionDriver.createEnd(3) });
+    expect(driver.getText()).toBe("whole");
+    expect(listCancelled(driver)).toEqual(["a1"]);
+  });
+
+  it("answers a failure: a stream goes on at the other", () => {
+    const driver = createDriver(stream, { maxAttempts: 3 });
+    driver.feedFrame(1, 0, { body: createHead(200) });
+    feedChunk(driver, { attempt: 1, sequence: 1, text: createEvent(1) });
+    driver.feed(lost);
+    driver.feed({ kind: "timer", name: "stall" });
+    driver.feedFrame(3, 0, { body: createHead(200) });
+    driver.feedFrame(2, 0, { body: createHead(500) });
+    driver.feedFrame(2, 1, { body: sessionDriver.createEnd(2) });
+    expect(listAnswers(driver)).toEqual([]);
+    feedChunk(driver, { attempt: 3, sequence: 1, text: createEvent(2) });
+    expect(driver.getText()).toBe(createEvent(1) + createEvent(2));
+  });
+
+  it.each([
+    ["breaks inside an event", "id: 2\nda", true],
+    ["sends a misplaced event", createEvent(5), false],
+  ])("%s: the stream goes on at its replacement", (_, text, isLost) => {
+    const driver = createStalledStream();
+    driver.feedFrame(2, 0, { body: createHead(200) });
+    feedChunk(driver, { attempt: 1, sequence: 2, text });
+    if (isLost) driver.feed(lost);
+    expect(listAnswers(driver)).toEqual([]);
+    feedChunk(driver, { attempt: 2, sequence: 1, text: createEvent(2) });
+    expect(driver.getText()).toBe(createEvent(1) + createEvent(2));
+  });
+
+  it.each([
+    ["repeats an event", 200, createEvent(1)],
+    ["answers with another status than 200", 404, "not found\n"],
+    ["ends without an event", 200, undefined],
+    ["ends without an event and with another status", 404, undefined],
+  ])("replaces and %s: the stalled stream goes on", (_, status, text) => {
+    const driver = createStalledStream();
+    driver.feedFrame(2, 0, { body: createHead(status) });
+    if (text !== undefined) {
+      feedChunk(driver, { attempt: 2, sequence: 1, text });
+    } else driver.feedFrame(2, 1, { body: sessionDriver.createEnd(2) });
+    expect(listCancelled(driver)).toEqual(["a2"]);
+    expectStalledToFinish(driver);
+  });
+
+  it("replaces and breaks inside an event: the stalled stream goes on", () => {
+    const driver = createStalledStream();
+    driver.feedFrame(2, 0, { body: createHead(200) });
+    feedChunk(driver, { attempt: 2, sequence: 1, text: "id: 2\nda" });
+    driver.feed({ ...lost, attemptId: "a2" });
+    expectStalledToFinish(driver);
+  });
+
+  it("was never sent: it does not count as an attempt", () => {
+    const driver = createStalledStream();
+    driver.feed({ ...lost, attemptId: "a2", sent: false });
+    expect(driver.listEffects("dispatch").map(({ upstream }) => upstream.id))
+      .toEqual(["g/0", "g/1", "g/2"]);
+  });
+
+  it("is lost while a slot is requested: the slot request is kept", () => {
+    let requested = 0;
+    let withdrawn = 0;
+    const choose = chooseThenWait();
+    const driver = createStalledStream({
+      chooseUpstream(attemptedIds) {
+        requested += 1;
+        return choose(attemptedIds);
+      },
+      withdrawSlotRequest: () => void (withdrawn += 1),
+    });
+    driver.feed(lost);
+    expect([requested, withdrawn]).toEqual([2, 0]);
+  });
+});
+
+test("a stalled attempt requests a slot again after the delay that was advised", () => {
+  const driver = createDriver(stream, { chooseUpstream: chooseThenWait() });
+  feedStall(driver);
+  driver.feed({ kind: "denied", reason: "full", retryAfterMs: 300 });
+  expect(driver.listEffects("set_timer").at(-1)).toMatchObject({
+    name: "slot",
+    delayMs: 300,
+  });
+  driver.feed({ kind: "timer", name: "slot" });
+  const upstream = sessionDriver.createUpstream(1);
+  driver.feed({ kind: "granted", upstream });
+  expect(driver.listEffects("dispatch")).toHaveLength(2);
+});
+
+test("a broken stream requests a slot until its deadline instead of being broken off", () => {
+  const driver = createDriver(stream, { chooseUpstream: chooseThenWait() });
+  driver.feedFrame(1, 0, { body: createHead(200) });
+  driver.feedFrame(1, 1, { body: sessionDriver.createChunk(createEvent(1)) });
+  driver.feed(lost);
+  for (let refusal = 0; refusal < 3; refusal += 1) {
+    driver.feed({ kind: "denied", reason: "full", retryAfterMs: 300 });
+    expect(listAnswers(driver)).toEqual([]);
+    driver.feed({ kind: "timer", name: "slot" });
+  }
+  const upstream = sessionDriver.createUpstream(1);
+  driver.feed({ kind: "granted", upstream });
+  driver.feedFrame(2, 0, { body: createHead(200) });
+  driver.feedFrame(2, 1, { body: sessionDriver.createChunk(createEvent(2)) });
+  expect(driver.getText()).toBe(createEvent(1) + createEvent(2));
+});
+
+test("a broken stream without a slot ends at its deadline or with its caller", () => {
+  for (
+    const event of [
+      { kind: "timer", name: "deadline" },
+      { kind: "caller_gone" },
+    ] as const
+  ) {
+    const driver = createDriver(stream, { chooseUpstream: chooseThenWait() });
+    driver.feedFrame(1, 0, { body: createHead(200) });
+    driver.feedFrame(1, 1, { body: sessionDriver.createChunk(createEvent(1)) });
+    driver.feed(lost);
+    driver.feed({ kind: "denied", reason: "full", retryAfterMs: 300 });
+    driver.feed(event);
+    expect(driver.session.isDone()).toBe(true);
+    driver.feed({ kind: "timer", name: "slot" });
+    expect(driver.listEffects("dispatch")).toHaveLength(1);
+  }
+});
--- a/packages/anvilhinge/src/entry/session/session_frames.ts
+++ b/packages/anvilhinge/src/entry/session/session_frames.ts
@@ -17,7 +17,11 @@
     state: attemptState.AttemptState,
     event: Extract<types.SessionEvent, { readonly kind: "lost" }>,
   ): Effects;
+  /** Handles the frames that a replacement received before it took over. */
+  handleQueuedFrames(): Effects;
   handleStall(): Effects;
+  /** Requests a slot again after a refusal. */
+  handleSlotTimer(): Effects;
   handleSealAnswer(
     state: attemptState.AttemptState,
     outcome: types.SealResult,
@@ -79,7 +83,7 @@
     // A stall alone does not end the answer.
     if (options.gate === "none") {
       shared.current.isStalled = true;
-      return request.isRepeatable ? replacements.request() : [];
+      return request.isRepeatable ? replacements.requestReplacement() : [];
     }
     // A slow attempt that must not run twice continues as long as its agent
     // answers the seal with `running`.
@@ -93,13 +97,28 @@
   }
 
   function handleFrame(frame: frames.Frame): Effects {
-    const isOfReplacement = frame.requestId === request.requestId &&
-      frame.attemptId === shared.replacement?.state.attemptId;
-    if (!isOfReplacement) return handleCurrentFrame(frame);
-    const { kind, effects } = replacements.handleFrame(frame);
-    return kind === "replaced"
-      ? [...effects, ...handleCurrentFrame(frame)]
-      : effects;
+    const { replacement } = shared;
+    const isOfReplacement = replacement !== undefined &&
+      frame.requestId === request.requestId &&
+      frame.attemptId === replacement.state.attemptId;
+    return isOfReplacement
+      ? replacements.handleFrame(replacement, frame)
+      : handleCurrentFrame(frame);
+  }
+
+  function handleQueuedFrames(): Effects {
+    const queued = shared.queuedFrames;
+    shared.queuedFrames = [];
+    return queued.flatMap((frame) => handleCurrentFrame(frame));
+  }
+
+  function handleSlotTimer(): Effects {
+    if (!shared.isSlotDelayed) return [];
+    shared.isSlotDelayed = false;
+    const { current } = shared;
+    if (current === undefined) return core.startNextAttempt();
+    const isNeeded = current.isStalled && shared.replacement === undefined;
+    return isNeeded ? replacements.requestReplacement() : [];
   }
 
   function handleCurrentFrame(frame: frames.Frame): Effects {
@@ -131,18 +150,21 @@
     state: attemptState.AttemptState,
     { body, sequence }: frames.Frame,
   ): Effects {
-    const { upstream } = state;
+    const { upstream, attemptId } = state;
     switch (body.kind) {
       case "accepted":
-        core.addHead(state, body.head);
-        return [...replacements.withdraw("redundant"), resetStallTimer()];
+        state.isStarted = true;
+        state.status = body.head.status;
+        recorder.setHead(body.head);
+        // A stream that continues at another upstream keeps the head that was
+        // already delivered.
+        if (!buffer.hasDelivered()) {
+          buffer.add({ kind: "head", head: body.head, upstream, attemptId });
+        }
+        return [...replacements.replaceFailing(), resetStallTimer()];
       case "chunk":
         recorder.addData(body.data);
-        return [
-          ...replacements.withdraw("redundant"),
-          ...applyData(state, body.data, sequence),
-          resetStallTimer(),
-        ];
+        return [...applyData(state, body.data, sequence), resetStallTimer()];
       case "end":
         return handleEnd(state, body);
       case "refused":
@@ -169,20 +191,32 @@
     data: Uint8Array,
     sequence: number,
   ): Effects {
-    if (
-      eventAssembler === undefined || attemptState.isFailureStatus(state.status)
-    ) {
+    if (eventAssembler === undefined || core.isFailedAnswer(state)) {
       // Buffers the body of a failure, so that another attempt can replace it.
       const isBuffered = eventAssembler !== undefined;
-      return [...buffer.add({ kind: "data", data, sequence }, { isBuffered })];
+      return deliver(
+        state,
+        buffer.add({ kind: "data", data, sequence }, { isBuffered }),
+      );
     }
     const pushed = eventAssembler.push(data);
     if (pushed.kind === "misplaced") {
       return handleBroken(state, pushed.message, "misplaced");
     }
-    return pushed.data === undefined
-      ? []
-      : [...buffer.add({ kind: "data", data: pushed.data, sequence })];
+    return pushed.data === undefined ? [] : deliver(
+      state,
+      buffer.add({ kind: "data", data: pushed.data, sequence }),
+    );
+  }
+
+  /** Delivers parts of the current attempt, which no longer needs replacing. */
+  function deliver(
+    { attemptId }: attemptState.AttemptState,
+    parts: readonly types.SessionEffect[],
+  ): Effects {
+    if (parts.length === 0) return [];
+    shared.deliveringId = attemptId;
+    return [...replacements.withdraw("redundant"), ...parts];
   }
 
   /** Retries or delivers a complete answer with a failure status. */
@@ -212,7 +246,7 @@
     body: Body<"end">,
   ): Effects {
     if (options.gate === "none") {
-      if (attemptState.isFailureStatus(state.status)) {
+      if (core.isFailedAnswer(state)) {
         return handleFailureStatus(state, body);
       }
       if (eventAssembler?.hasIncompleteEvent()) {
@@ -287,5 +321,12 @@
     }
   }
 
-  return { handleFrame, handleLost, handleStall, handleSealAnswer };
+  return {
+    handleFrame,
+    handleQueuedFrames,
+    handleLost,
+    handleStall,
+    handleSlotTimer,
+    handleSealAnswer,
+  };
 }
--- a/packages/anvilhinge/src/entry/session/session_replacement.ts
+++ b/packages/anvilhinge/src/entry/session/session_replacement.ts
@@ -1,7 +1,7 @@
 /**
  * Session handlers that replace a stalled attempt. The stalled attempt goes on
- * until its replacement delivers data, because a slot may be refused, and the
- * other upstream may refuse the attempt or stall as well.
+ * until its replacement has data to deliver, because a slot may be refused, and
+ * the other upstream may refuse the attempt, fail or stall as well.
  */
 import type * as frames from "../../ports/frames.ts";
 import * as attemptState from "./attempt_state.ts";
@@ -10,24 +10,24 @@
 
 type Effects = sessionCore.Effects;
 type Observation = Parameters<sessionCore.SessionCore["observe"]>;
+type Lost = Extract<types.SessionEvent, { readonly kind: "lost" }>;
 
-/** Result of a frame of the replacement. */
-export type ReplacementOutcome =
-  /** The frame was handled; the current attempt is still the current one. */
-  | { readonly kind: "handled"; readonly effects: Effects }
-  /** The replacement is now the current attempt, to which the frame belongs. */
-  | { readonly kind: "replaced"; readonly effects: Effects };
+/** What the frames of a replacement show so far. */
+type Verdict = "pending" | "deliverable" | "misplaced" | "useless";
 
 export interface ReplacementHandlers {
   /** Requests a replacement of the stalled attempt. */
-  request(): Effects;
+  requestReplacement(): Effects;
   /** Dispatches the replacement to the given upstream. */
   start(upstream: types.Upstream): Effects;
-  /** Lets the stalled attempt go on after its replacement got no slot. */
-  handleDenied(): Effects;
-  handleFrame(frame: frames.Frame): ReplacementOutcome;
-  handleLost(): Effects;
-  /** Ends the replacement, or the request for one, if the attempt goes on. */
+  handleFrame(
+    replacement: sessionCore.Replacement,
+    frame: frames.Frame,
+  ): Effects;
+  handleLost(event: Lost): Effects;
+  /** Ends the current attempt in favor of its replacement if it answers a failure. */
+  replaceFailing(): Effects;
+  /** Ends the replacement, or the request for one, with the given cause. */
   withdraw(cause: types.AttemptEndCause): Effects;
 }
 
@@ -35,9 +35,9 @@
 export function createReplacementHandlers(
   core: sessionCore.SessionCore,
 ): ReplacementHandlers {
-  const { options, shared, observe, resetStallTimer, cancel } = core;
+  const { options, shared, buffer, observe, resetStallTimer, cancel } = core;
 
-  function request(): Effects {
+  function requestReplacement(): Effects {
     if (shared.isWaiting || !core.isRetryPermitted()) return [];
     const choice = options.chooseUpstream(core.attemptedIds);
     switch (choice.kind) {
@@ -57,10 +57,12 @@
       return [resetStallTimer()];
     }
     shared.isWaiting = false;
-    const ended = endReplacement("lost", { cause: "stalled" });
-    const state = core.createAttempt(upstream);
-    shared.replacement = { state };
-    return [...ended, ...core.dispatch(state)];
+    const ended = [
+      ...replaceFailing(),
+      ...endReplacement("lost", { cause: "stalled" }),
+    ];
+    shared.replacement = core.createReplacement(upstream);
+    return [...ended, ...core.dispatch(shared.replacement.state)];
   }
 
   /** Ends the replacement, if there is one, and cancels its attempt. */
@@ -78,51 +80,97 @@
   function failReplacement(
     outcome: Observation[1],
     report?: Observation[2],
-  ): ReplacementOutcome {
-    const effects = [...endReplacement(outcome, report), resetStallTimer()];
-    return { kind: "handled", effects };
+  ): Effects {
+    return [...endReplacement(outcome, report), resetStallTimer()];
+  }
+
+  function replaceFailing(): Effects {
+    const { current, replacement } = shared;
+    if (current === undefined || replacement === undefined) return [];
+    if (!current.isStarted || !core.isFailedAnswer(current)) return [];
+    core.raiseRunStatus("yes");
+    return [
+      ...observe(current, "failed"),
+      cancel(current),
+      ...(core.switchToReplacement() ?? []),
+    ];
   }
 
-  function replace(): ReplacementOutcome {
+  function replaceCurrent(): Effects {
     const { current } = shared;
     if (current === undefined) throw new Error("No attempt to replace");
     core.raiseRunStatus(current.isStarted ? "yes" : "unknown");
-    return {
-      kind: "replaced",
-      effects: [
-        ...observe(current, "lost", { cause: "stalled" }),
-        cancel(current),
-        ...(core.switchToReplacement() ?? []),
-      ],
-    };
+    return [
+      ...observe(current, "lost", { cause: "stalled" }),
+      cancel(current),
+      ...(core.switchToReplacement() ?? []),
+    ];
   }
 
-  function handleFrame(frame: frames.Frame): ReplacementOutcome {
-    const { replacement } = shared;
-    if (replacement === undefined) throw new Error("There is no replacement");
-    const { state } = replacement;
-    const { body } = frame;
-    if (frame.sequence < state.nextSequence) {
-      return { kind: "handled", effects: [{ kind: "drop", frame }] };
-    }
+  /** Whether the answer failed, or can't continue that of the stalled attempt. */
+  function isUnusable(state: attemptState.AttemptState): boolean {
+    return core.isFailedAnswer(state) ||
+      (core.isContinuation(state) &&
+        !attemptState.isSuccessStatus(state.status));
+  }
+
+  function checkData(
+    replacement: sessionCore.Replacement,
+    data: Uint8Array,
+  ): Verdict {
+    const { state, assembler } = replacement;
+    replacement.frameBytes += data.byteLength;
     if (
-      frame.sequence > state.nextSequence ||
-      !attemptState.isValidPosition(frame)
+      assembler === undefined || !attemptState.isSuccessStatus(state.status)
     ) {
-      return failReplacement("lost", { cause: "misplaced" });
+      return replacement.frameBytes > core.maxBufferedBytes
+        ? "deliverable"
+        : "pending";
+    }
+    const pushed = assembler.push(data);
+    if (pushed.kind === "misplaced") return "misplaced";
+    return pushed.data === undefined ? "pending" : "deliverable";
+  }
+
+  /** Checks an answer that ended before it had data to deliver. */
+  function checkEnd({ assembler }: sessionCore.Replacement): Verdict {
+    if (assembler === undefined) return "deliverable";
+    // After events were delivered, an end without any more events does not show
+    // that the stream is complete.
+    return buffer.hasDelivered() || assembler.hasIncompleteEvent()
+      ? "useless"
+      : "deliverable";
+  }
+
+  function applyVerdict(verdict: Verdict): Effects {
+    switch (verdict) {
+      case "pending":
+        return [resetStallTimer()];
+      case "deliverable":
+        return replaceCurrent();
+      case "misplaced":
+        return failReplacement("lost", { cause: "misplaced" });
+      case "useless":
+        return failReplacement("failed");
     }
+  }
+
+  function applyFrame(
+    replacement: sessionCore.Replacement,
+    { body }: frames.Frame,
+  ): Effects {
+    const { state } = replacement;
     switch (body.kind) {
       case "accepted":
-        if (attemptState.isFailureStatus(body.head.status)) {
-          return failReplacement("failed");
-        }
-        state.nextSequence += 1;
         state.isStarted = true;
-        replacement.head = body.head;
-        return { kind: "handled", effects: [] };
+        state.status = body.head.status;
+        return applyVerdict(
+          isUnusable(state) ? "useless" : "pending",
+        );
       case "chunk":
+        return applyVerdict(checkData(replacement, body.data));
       case "end":
-        return replace();
+        return applyVerdict(checkEnd(replacement));
       case "refused":
         return failReplacement("refused", body);
       case "failed":
@@ -133,14 +181,30 @@
   }
 
   return {
-    request,
+    requestReplacement,
     start,
-    handleDenied() {
-      shared.isWaiting = false;
-      return [resetStallTimer()];
+    replaceFailing,
+    handleFrame(replacement, frame) {
+      const { state } = replacement;
+      if (frame.sequence < state.nextSequence) return [{ kind: "drop", frame }];
+      if (
+        frame.sequence > state.nextSequence ||
+        !attemptState.isValidPosition(frame)
+      ) {
+        return failReplacement("lost", { cause: "misplaced" });
+      }
+      state.nextSequence += 1;
+      replacement.frames.push(frame);
+      return applyFrame(replacement, frame);
+    },
+    handleLost({ sent }) {
+      const ended = failReplacement("lost", { cause: "broken" });
+      if (sent) return ended;
+      shared.attempts -= 1;
+      return core.isUnsentRetryPermitted()
+        ? [...ended, ...requestReplacement()]
+        : ended;
     },
-    handleFrame,
-    handleLost: () => [...failReplacement("lost", { cause: "broken" }).effects],
     withdraw(cause) {
       core.withdrawSlotRequest();
       const outcome = cause === "deadline" ? "lost" : "abandoned";
--- a/packages/anvilhinge/src/entry/session/session_types.ts
+++ b/packages/anvilhinge/src/entry/session/session_types.ts
@@ -167,7 +167,8 @@
   | { readonly kind: "timer"; readonly name: TimerName }
   | { readonly kind: "caller_gone" };
 
-export type TimerName = "deadline" | "stall";
+/** `slot`: a slot is requested again after a refusal. */
+export type TimerName = "deadline" | "stall" | "slot";
 
 /** Whether a request ran, at least in part, and so may have had an effect. */
 export type RunStatus = "no" | "yes" | "unknown";
