--- a/packages/anvilhinge/src/entry/session/session_core.ts
+++ b/packages/anvilhinge/src/entry/session/session_core.ts
@@ -125,7 +125,7 @@
   isRetryPermitted(): boolean;
   /** Whether the attempt continues an answer that another attempt began. */
   isContinuation(state: attemptState.AttemptState): boolean;
-  /** Whether the attempt's answer is a failure of its upstream. */
+  /** Whether the attempt's answer is a failure, or can't continue another. */
   isFailedAnswer(state: attemptState.AttemptState): boolean;
   /** Withdraws the slot request, if there is one. */
   withdrawSlotRequest(): void;
@@ -373,7 +373,8 @@
   }
 
   function isFailedAnswer(state: attemptState.AttemptState): boolean {
-    return attemptState.isFailureStatus(state.status);
+    return attemptState.isFailureStatus(state.status) ||
+      (isContinuation(state) && !attemptState.isSuccessStatus(state.status));
   }
 
   function isRetryPermitted(): boolean {
--- a/packages/anvilhinge/src/entry/session/session_direct_test.ts
+++ b/packages/anvilhinge/src/entry/session/session_direct_test.ts
@@ -641,3 +641,45 @@
     expect(driver.listEffects("dispatch")).toHaveLength(1);
   }
 });
+
+describe("after the first event, a second attempt that answers", () => {
+  function createResumed(): sessionDriver.Driver {
+    const driver = createDriver(stream);
+    driver.feedFrame(1, 0, { body: createHead(200) });
+    driver.feedFrame(1, 1, { body: sessionDriver.createChunk(createEvent(1)) });
+    driver.feed(lost);
+    return driver;
+  }
+
+  it.each([500, 404])("%i with a body delivers nothing of it", (status) => {
+    const driver = createResumed();
+    driver.feedFrame(2, 0, { body: createHead(status) });
+    const body = sessionDriver.createChunk("id: 2\ndata: no event\n\n");
+    driver.feedFrame(2, 1, { body });
+    driver.feedFrame(2, 2, { body: sessionDriver.createEnd(3) });
+    expect(driver.getText()).toBe(createEvent(1));
+    expect(listAnswers(driver)).toEqual(["failed"]);
+  });
+
+  it.each([500, 404])(
+    "%i without a body does not complete the stream",
+    (status) => {
+      const driver = createResumed();
+      driver.feedFrame(2, 0, { body: createHead(status) });
+      driver.feedFrame(2, 1, { body: sessionDriver.createEnd(2) });
+      expect(driver.listEffects("end")).toEqual([]);
+      expect(listAnswers(driver)).toEqual(["failed"]);
+    },
+  );
+});
+
+test("a stream that is answered with another status is delivered whole", () => {
+  const driver = createDriver(stream);
+  driver.feedFrame(1, 0, { body: createHead(404) });
+  driver.feedFrame(1, 1, { body: sessionDriver.createChunk("not found\n") });
+  driver.feedFrame(1, 2, { body: sessionDriver.createEnd(3) });
+  expect(driver.listEffects("head").map(({ head }) => head.status))
+    .toEqual([404]);
+  expect(driver.getText()).toBe("not found\n");
+  expect(driver.listEffects("end")).toHaveLength(1);
+});
--- a/packages/anvilhinge/src/entry/session/session_frames.ts
+++ b/packages/anvilhinge/src/entry/session/session_frames.ts
@@ -191,8 +191,12 @@
     data: Uint8Array,
     sequence: number,
   ): Effects {
-    if (eventAssembler === undefined || core.isFailedAnswer(state)) {
-      // Buffers the body of a failure, so that another attempt can replace it.
+    if (core.isContinuation(state) && core.isFailedAnswer(state)) return [];
+    if (
+      eventAssembler === undefined ||
+      !attemptState.isSuccessStatus(state.status)
+    ) {
+      // Buffers an answer without events, so that another attempt can replace it.
       const isBuffered = eventAssembler !== undefined;
       return deliver(
         state,
--- a/packages/anvilhinge/src/entry/session/session_property_test.ts
+++ b/packages/anvilhinge/src/entry/session/session_property_test.ts
@@ -196,6 +196,7 @@
         "unsent",
         "refused",
         "failed",
+        "failure_status",
       ),
       choice,
     }),
--- a/packages/anvilhinge/src/entry/session/session_replacement.ts
+++ b/packages/anvilhinge/src/entry/session/session_replacement.ts
@@ -107,13 +107,6 @@
     ];
   }
 
-  /** Whether the answer failed, or can't continue that of the stalled attempt. */
-  function isUnusable(state: attemptState.AttemptState): boolean {
-    return core.isFailedAnswer(state) ||
-      (core.isContinuation(state) &&
-        !attemptState.isSuccessStatus(state.status));
-  }
-
   function checkData(
     replacement: sessionCore.Replacement,
     data: Uint8Array,
@@ -165,7 +158,7 @@
         state.isStarted = true;
         state.status = body.head.status;
         return applyVerdict(
-          isUnusable(state) ? "useless" : "pending",
+          core.isFailedAnswer(state) ? "useless" : "pending",
         );
       case "chunk":
         return applyVerdict(checkData(replacement, body.data));
