--- a/packages/anvilhinge/src/entry/choice/routed_policy.ts
+++ b/packages/anvilhinge/src/entry/choice/routed_policy.ts
@@ -133,6 +133,8 @@
     event: Parameters<DecisionHandler>[0],
     by: workClient.WorkEvent["by"],
   ) => void;
+  /** Requests a slot again, at another upstream than one that is not listed. */
+  readonly requestAgain: (unlistedId: string) => void;
 }
 
 const noUpstreamRetryMs = 1_000;
@@ -204,9 +206,7 @@
     const granted = tracked.get(event.upstreamId);
     if (granted === undefined) {
       slots.drop(event.key);
-      const reason = `Upstream ${event.upstreamId} has gone`;
-      const denied = { kind: "denied", reason, retryAfterMs: 0 } as const;
-      return request.resolve(denied, event.by);
+      return request.requestAgain(event.upstreamId);
     }
     const { upstream } = granted;
     request.resolve({ kind: "granted", upstream }, event.by);
@@ -335,7 +335,7 @@
 
     function requestSlot(
       attemptedIds: ReadonlySet<string>,
-    ): session.UpstreamChoice {
+    ): Exclude<session.UpstreamChoice, { kind: "chosen" }> {
       const usable = listUsable(request.service);
       if (usable.every(({ listed }) => attemptedIds.has(listed.id))) {
         const reason = `No upstream of service ${request.service} is left`;
@@ -353,6 +353,12 @@
           waitedMs += clock.now() - nowMs;
           onDecision(event);
         },
+        requestAgain(unlistedId) {
+          const choice = requestSlot(new Set([...attemptedIds, unlistedId]));
+          if (choice.kind !== "none") return;
+          const { reason, retryAfterMs } = choice;
+          onDecision({ kind: "denied", reason, retryAfterMs });
+        },
       });
       slots.requestSlot({
         key,
--- a/packages/anvilhinge/src/entry/choice/routed_policy_test.ts
+++ b/packages/anvilhinge/src/entry/choice/routed_policy_test.ts
@@ -287,3 +287,16 @@
   // Both upstreams are idle, so the choice is the same again.
   expect(chooseNext("r2").id).toBe(first.id);
 });
+
+test("a slot at an upstream that has gone is requested again elsewhere", () => {
+  const { policy, scheduler, start } = createPolicy([createListed("u1")]);
+  const { requestPolicy, decisions } = start("r1");
+  requestPolicy.chooseUpstream(new Set());
+  const grants = [{ key: "r1/1", upstreamId: "gone" }];
+  policy.handleMessage(
+    { kind: "decisions", decisions: { sequence: 1, grants, denials: [] } },
+    "10.0.0.9:1",
+  );
+  scheduler.advance(5);
+  expect(decisions).toEqual(["u1"]);
+});
