--- a/packages/anvilhinge/src/entry/session/attempt_state.ts
+++ b/packages/anvilhinge/src/entry/session/attempt_state.ts
@@ -1,4 +1,4 @@
-/** State of the current attempt of a session. */
+/** State of one attempt of a session. */
 import type * as claims from "@anvilhinge/coordination/claims";
 import * as frames from "../../ports/frames.ts";
 import type * as types from "./session_types.ts";
--- a/packages/anvilhinge/src/entry/session/session.ts
+++ b/packages/anvilhinge/src/entry/session/session.ts
@@ -1,10 +1,10 @@
 /**
  * State machine for one caller's request at an entry, from arrival to the final
  * answer. It chooses upstreams, claims requests that must not run twice,
- * processes the frames of the current attempt, retries attempts that did not
- * run or may run twice, resumes a broken stream without running the attempt
- * again, and seals attempts that may not have started. It is deterministic and
- * performs no I/O: it maps events to effects.
+ * processes the frames of the current attempt and of the replacement of a stalled
+ * one, retries attempts that did not run or may run twice, resumes a broken stream
+ * without running the attempt again, and seals attempts that may not have started.
+ * It is deterministic and performs no I/O: it maps events to effects.
  */
 import * as attemptState from "./attempt_state.ts";
 import * as sessionClaims from "./session_claims.ts";
--- a/packages/anvilhinge/src/entry/session/session_frames.ts
+++ b/packages/anvilhinge/src/entry/session/session_frames.ts
@@ -29,6 +29,7 @@
 }
 
 const defaultMaxResumes = 3;
+
 /** Creates the handlers that operate on the given session core. */
 export function createFrameHandlers(
   core: sessionCore.SessionCore,
