--- a/packages/anvilhinge/src/adapters/direct_client.ts
+++ b/packages/anvilhinge/src/adapters/direct_client.ts
@@ -24,6 +24,14 @@
 }
 
 const defaultConnectTimeoutMs = 250;
+/** Limit of the names and values in one head, as of Node's parser by default. */
+const headLimitBytes = 16 * 1024;
+/**
+ * Limit of consecutive bytes that contain neither the head nor data of the
+ * answer. Room for a head of full size, the spaces and line ends in it that the
+ * parser does not count, and interim answers before it.
+ */
+const emptyRunLimitBytes = 4 * headLimitBytes;
 const unknownLoad: engine.EngineLoad = { running: 0, queued: 0, stepUs: 0 };
 
 /** Creates a client for upstreams without agents. */
@@ -68,6 +76,9 @@
   let sequence = 0;
   let isConnected = false;
   let isEnded = false;
+  let answer: http.IncomingMessage | undefined;
+  /** Whether the head or data arrived since the last check of empty runs. */
+  let hasProgressed = false;
 
   function emitFrame(body: frames.FrameBody): void {
     const { requestId, attemptId } = attempt;
@@ -86,7 +97,26 @@
     request.destroy();
   }
 
+  /** Breaks off an answer whose bytes never become a head or data. */
+  function limitEmptyRuns(socket: net.Socket): void {
+    let countedFromBytes = 0;
+    // Runs after the parser, whose listener is added first.
+    socket.on("data", () => {
+      if (isEnded || answer?.complete) return;
+      if (hasProgressed || (answer?.readableLength ?? 0) > 0) {
+        hasProgressed = false;
+        countedFromBytes = socket.bytesRead;
+      } else if (socket.bytesRead - countedFromBytes > emptyRunLimitBytes) {
+        failStream(
+          `${emptyRunLimitBytes} bytes contained no part of an answer`,
+        );
+      }
+    });
+  }
+
   function handleResponse(response: http.IncomingMessage): void {
+    answer = response;
+    hasProgressed = true;
     const isFramed = response.headers["content-length"] !== undefined ||
       response.headers["transfer-encoding"] !== undefined;
     const head: engine.AnswerHead = {
@@ -116,7 +146,10 @@
     head: engine.AnswerHead,
   ): void {
     emitFrame({ kind: "accepted", incarnation: "", head });
-    response.on("data", (data: Buffer) => emitFrame({ kind: "chunk", data }));
+    response.on("data", (data: Buffer) => {
+      hasProgressed = true;
+      emitFrame({ kind: "chunk", data });
+    });
     response.on("close", () => {
       if (isEnded) return;
       if (!response.complete) return failStream("The answer broke off");
@@ -135,15 +168,19 @@
       ...httpHeaders.buildContentLengthHeaders(work),
     ].flat(),
     setHost: false,
+    maxHeaderSize: headLimitBytes,
     createConnection: () => openConnection(call),
   });
   request.on("socket", (socket) => {
     socket.once("connect", () => {
       isConnected = true;
     });
+    limitEmptyRuns(socket);
   });
   request.on("response", handleResponse);
-  request.on("error", (error) => failStream(error.message));
+  request.on("error", (error) => {
+    failStream(error.message);
+  });
   stream.signal.addEventListener("abort", () => {
     isEnded = true;
     request.destroy();
--- a/packages/anvilhinge/src/adapters/direct_client_test.ts
+++ b/packages/anvilhinge/src/adapters/direct_client_test.ts
@@ -201,3 +201,79 @@
   }, { abortAfterMs: 50 });
   expect(isClosed).toBe(true);
 });
+
+/** Far above what the client and the buffers of two sockets may hold. */
+const floodLimitBytes = 64 * 1024 * 1024;
+const floodBlockBytes = 64 * 1024;
+
+/** Writes `unit` until the other side closes; returns whether it did. */
+function createFlood(
+  unit: string,
+): { write(socket: net.Socket): void; isStopped(): boolean } {
+  const block = Buffer.from(
+    unit.repeat(Math.ceil(floodBlockBytes / unit.length)),
+    "latin1",
+  );
+  let writtenBytes = 0;
+  let isStopped = false;
+  return {
+    isStopped: () => isStopped,
+    write(socket) {
+      isStopped = socket.destroyed;
+      socket.once("close", () => {
+        isStopped = writtenBytes < floodLimitBytes;
+      });
+      function writeBlock(): void {
+        if (socket.destroyed) return;
+        if (writtenBytes >= floodLimitBytes) return void socket.destroy();
+        socket.write(block, () => {
+          writtenBytes += block.byteLength;
+          setImmediate(writeBlock);
+        });
+      }
+      writeBlock();
+    },
+  };
+}
+
+describe("bytes without end that are no answer", () => {
+  const chunkedHead = `${head}Transfer-Encoding: chunked\r\n\r\n`;
+
+  test.each([
+    ["blank lines before the status line", "", "\r\n"],
+    ["in the status line", "HTTP/1.1 200 ", "a"],
+    ["spaces in the status line", "HTTP/1.1 200", " "],
+    ["header fields", head, "X-A: 1\r\n"],
+    ["the name of a header field", head, "a"],
+    ["the value of a header field", `${head}X-A: `, "a"],
+    ["spaces in a header field", `${head}X-A:`, " "],
+    ["folded lines of a header field", `${head}X-A: 1`, "\r\n "],
+    ["interim answers", "", "HTTP/1.1 103 Early Hints\r\nX-A: 1\r\n\r\n"],
+    ["interim answers to continue", "", "HTTP/1.1 100 Continue\r\n\r\n"],
+    ["zeros in the size of a chunk", chunkedHead, "0"],
+    ["an extension of a chunk", `${chunkedHead}4;a=`, "a"],
+    ["fields after the last chunk", `${chunkedHead}0\r\n`, "X-A: 1\r\n"],
+  ])("break the answer: %s", async (_name, first, unit) => {
+    const flood = createFlood(unit);
+    const outcome = await runAttempt((socket) => {
+      socket.write(first);
+      flood.write(socket);
+    });
+    expect(outcome.frames.some(({ kind }) => kind === "end")).toBe(false);
+    expect(outcome.end).toMatchObject({ kind: "broken", sent: true });
+    expect(flood.isStopped()).toBe(true);
+  });
+
+  test("are not seen in interim answers and chunks of one byte", async () => {
+    // The framing alone has more bytes than an empty run may have.
+    const chunkCount = 20_000;
+    const outcome = await runAttempt((socket) =>
+      socket.end(
+        "HTTP/1.1 103 Early Hints\r\nX-A: 1\r\n\r\n".repeat(9) +
+          chunkedHead + "1\r\na\r\n".repeat(chunkCount) + "0\r\n\r\n",
+      )
+    );
+    expect(readText(outcome)).toBe("a".repeat(chunkCount));
+    expect(outcome.end).toEqual({ kind: "closed" });
+  });
+});
