--- a/packages/anvilhinge/src/adapters/direct_client.ts
+++ b/packages/anvilhinge/src/adapters/direct_client.ts
@@ -32,6 +32,8 @@
  * parser does not count, and interim answers before it.
  */
 const emptyRunLimitBytes = 4 * headLimitBytes;
+/** Lowest status of a final answer; lower ones are interim. */
+const minFinalStatus = 200;
 const unknownLoad: engine.EngineLoad = { running: 0, queued: 0, stepUs: 0 };
 
 /** Creates a client for upstreams without agents. */
@@ -117,6 +119,10 @@
   function handleResponse(response: http.IncomingMessage): void {
     answer = response;
     hasProgressed = true;
+    // Without a listener for upgrades, Node reports 101 as the final answer.
+    if ((response.statusCode ?? 0) < minFinalStatus) {
+      return failStream("The upstream changed the protocol unasked");
+    }
     const isFramed = response.headers["content-length"] !== undefined ||
       response.headers["transfer-encoding"] !== undefined;
     const head: engine.AnswerHead = {
--- a/packages/anvilhinge/src/adapters/direct_client_test.ts
+++ b/packages/anvilhinge/src/adapters/direct_client_test.ts
@@ -292,4 +292,12 @@
       expect(flood.isStopped()).toBe(true);
     },
   );
+
+  test("a change of protocol, which no attempt requests, breaks the answer", async () => {
+    const outcome = await runAttempt((socket) =>
+      socket.write("HTTP/1.1 101 Switching\r\nUpgrade: a\r\n\r\n")
+    );
+    expect(outcome.frames).toEqual([]);
+    expect(outcome.end).toMatchObject({ kind: "broken", sent: true });
+  });
 });
