--- a/packages/anvilhinge/src/entry/session/event_assembler.ts
+++ b/packages/anvilhinge/src/entry/session/event_assembler.ts
@@ -9,7 +9,16 @@
   /** Complete events that continue the answer; undefined if there are none. */
   | { readonly kind: "events"; readonly data: Uint8Array | undefined }
   /** An event is missing or repeated, so the data must not be delivered. */
-  | { readonly kind: "misplaced"; readonly message: string };
+  | { readonly kind: "misplaced"; readonly message: string }
+  /** An incomplete event exceeds the limit; it is not buffered further. */
+  | { readonly kind: "oversized"; readonly message: string };
+
+export interface EventAssemblerOptions {
+  /** Id of the event after which the answer starts. */
+  readonly resumeAfter?: string;
+  /** Maximum number of buffered bytes of an incomplete event. */
+  readonly limitBytes: number;
+}
 
 export interface EventAssembler {
   /** Discards the incomplete event of an interrupted attempt. */
@@ -39,8 +48,10 @@
   return !Number.isSafeInteger(last) || number === last + 1;
 }
 
-/** Creates an assembler for an answer that starts after event `resumeAfter`. */
-export function createEventAssembler(resumeAfter?: string): EventAssembler {
+/** Creates an assembler for one answer. */
+export function createEventAssembler(
+  { resumeAfter, limitBytes }: EventAssemblerOptions,
+): EventAssembler {
   let splitter = eventSplitter.createEventSplitter();
   let lastId = resumeAfter;
 
@@ -63,9 +74,12 @@
     },
     push(data) {
       const events = splitter.push(data);
-      return events === undefined
-        ? { kind: "events", data: undefined }
-        : verify(events);
+      if (events !== undefined) return verify(events);
+      if (splitter.countBufferedBytes() <= limitBytes) {
+        return { kind: "events", data: undefined };
+      }
+      const message = `An event has more than ${limitBytes} bytes`;
+      return { kind: "oversized", message };
     },
     hasIncompleteEvent: () => splitter.flush() !== undefined,
     getLastId: () => lastId,
--- a/packages/anvilhinge/src/entry/session/session_core.ts
+++ b/packages/anvilhinge/src/entry/session/session_core.ts
@@ -154,7 +154,8 @@
 const defaultStallMs = 5_000;
 /** Minimum delay of a slot request after a refusal. */
 const minSlotRetryMs = 100;
-const defaultWholeAnswerLimitBytes = 8 * 1024 * 1024;
+/** Default of the session's `bufferLimitBytes`. */
+export const defaultBufferLimitBytes = 8 * 1024 * 1024;
 
 /** Creates the core of a session that has not started. */
 export function createSessionCore(
@@ -163,8 +164,7 @@
 ): SessionCore {
   const maxAttempts = options.maxAttempts ?? defaultMaxAttempts;
   const stallMs = options.stallMs ?? defaultStallMs;
-  const maxBufferedBytes = options.wholeAnswerLimitBytes ??
-    defaultWholeAnswerLimitBytes;
+  const maxBufferedBytes = options.bufferLimitBytes ?? defaultBufferLimitBytes;
   const buffer = answerBuffer.createAnswerBuffer({
     isStreamed: request.delivery !== "whole" ||
       options.resumePoint !== undefined,
@@ -172,7 +172,10 @@
   });
   const recorder = answerBuffer.createAnswerRecorder();
   const assembler = request.delivery === "events"
-    ? eventAssembler.createEventAssembler(request.resumeAfter)
+    ? eventAssembler.createEventAssembler({
+      resumeAfter: request.resumeAfter,
+      limitBytes: maxBufferedBytes,
+    })
     : undefined;
   const attemptedIds = new Set<string>();
   const shared: SharedState = {
@@ -308,7 +311,10 @@
       frameBytes: 0,
       assembler: assembler === undefined
         ? undefined
-        : eventAssembler.createEventAssembler(assembler.getLastId()),
+        : eventAssembler.createEventAssembler({
+          resumeAfter: assembler.getLastId(),
+          limitBytes: maxBufferedBytes,
+        }),
     };
   }
 
--- a/packages/anvilhinge/src/entry/session/session_direct_test.ts
+++ b/packages/anvilhinge/src/entry/session/session_direct_test.ts
@@ -195,6 +195,57 @@
   expect(listAnswers(driver)).toEqual(["failed"]);
 });
 
+describe("more bytes than the buffer's limit", () => {
+  const bufferLimitBytes = 100;
+  const text = "x".repeat(bufferLimitBytes);
+  const limited = { bufferLimitBytes } as const;
+
+  test.each([
+    ["first", ""],
+    ["second", createEvent(1)],
+  ])("without the end of the %s event break a stream", (_, events) => {
+    const driver = createDriver(stream, limited);
+    driver.feedFrame(1, 0, { body: createHead(200) });
+    const start = sessionDriver.createChunk(`${events}${text}`);
+    driver.feedFrame(1, 1, { body: start });
+    expect(listCancelled(driver)).toEqual([]);
+    driver.feedFrame(1, 2, { body: sessionDriver.createChunk("x") });
+    expect(listCancelled(driver)).toEqual(["a1"]);
+    expect(driver.listEffects("observe")).toMatchObject([
+      { outcome: "lost", cause: "oversized", upstream: { id: "g/0" } },
+    ]);
+    expect(driver.getText()).toBe(events);
+    expect(driver.listEffects("dispatch")).toHaveLength(2);
+    driver.feedFrame(2, 0, { body: createHead(200) });
+    const id = events === "" ? 1 : 2;
+    const body = sessionDriver.createChunk(createEvent(id));
+    driver.feedFrame(2, 1, { body });
+    driver.feedFrame(2, 2, { body: sessionDriver.createEnd(3) });
+    expect(driver.getText()).toBe(events + createEvent(id));
+  });
+
+  test("without the end of an event break a stream that can't be resumed", () => {
+    const driver = createDriver({ ...stream, isRepeatable: false }, limited);
+    driver.feedFrame(1, 0, { body: createHead(200) });
+    driver.feedFrame(1, 1, { body: sessionDriver.createChunk(`${text}x`) });
+    expect(driver.getText()).toBe("");
+    expect(driver.listEffects("dispatch")).toHaveLength(1);
+    expect(listAnswers(driver)).toEqual(["unknown"]);
+  });
+
+  test("in complete events are delivered", () => {
+    const driver = createDriver(stream, limited);
+    const events = [1, 2, 3].map((id) => `id: ${id}\ndata: ${text}\n\n`);
+    driver.feedFrame(1, 0, { body: createHead(200) });
+    driver.feedFrame(1, 1, {
+      body: sessionDriver.createChunk(events.join("")),
+    });
+    driver.feedFrame(1, 2, { body: sessionDriver.createEnd(3) });
+    expect(driver.getText()).toBe(events.join(""));
+    expect(driver.listEffects("end")).toHaveLength(1);
+  });
+});
+
 test("the first attempt resumes after the last event that the caller received", () => {
   const driver = createDriver({ ...stream, resumeAfter: "7" });
   expect(driver.listEffects("dispatch")[0]?.attempt.resumeAfter).toBe("7");
--- a/packages/anvilhinge/src/entry/session/session_frames.ts
+++ b/packages/anvilhinge/src/entry/session/session_frames.ts
@@ -205,8 +205,8 @@
       );
     }
     const pushed = eventAssembler.push(data);
-    if (pushed.kind === "misplaced") {
-      return handleBroken(state, pushed.message, "misplaced");
+    if (pushed.kind !== "events") {
+      return handleBroken(state, pushed.message, pushed.kind);
     }
     return pushed.data === undefined ? [] : deliver(
       state,
--- a/packages/anvilhinge/src/entry/session/session_replacement.ts
+++ b/packages/anvilhinge/src/entry/session/session_replacement.ts
@@ -13,7 +13,12 @@
 type Lost = Extract<types.SessionEvent, { readonly kind: "lost" }>;
 
 /** What the frames of a replacement show so far. */
-type Verdict = "pending" | "deliverable" | "misplaced" | "useless";
+type Verdict =
+  | "pending"
+  | "deliverable"
+  | "misplaced"
+  | "oversized"
+  | "useless";
 
 export interface ReplacementHandlers {
   /** Requests a replacement of the stalled attempt. */
@@ -121,7 +126,7 @@
         : "pending";
     }
     const pushed = assembler.push(data);
-    if (pushed.kind === "misplaced") return "misplaced";
+    if (pushed.kind !== "events") return pushed.kind;
     return pushed.data === undefined ? "pending" : "deliverable";
   }
 
@@ -142,7 +147,8 @@
       case "deliverable":
         return replaceCurrent();
       case "misplaced":
-        return failReplacement("lost", { cause: "misplaced" });
+      case "oversized":
+        return failReplacement("lost", { cause: verdict });
       case "useless":
         return failReplacement("failed");
     }
--- a/packages/anvilhinge/src/entry/session/session_types.ts
+++ b/packages/anvilhinge/src/entry/session/session_types.ts
@@ -109,11 +109,12 @@
    */
   readonly stallMs?: number;
   /**
-   * Maximum number of bytes of a whole answer that the session buffers; a
-   * longer answer is passed to the sink as it arrives.
+   * Maximum number of bytes of an answer that the session buffers. A longer
+   * whole answer is passed to the sink as it arrives; a longer event ends its
+   * attempt.
    * @default 8388608
    */
-  readonly wholeAnswerLimitBytes?: number;
+  readonly bufferLimitBytes?: number;
   /** Resumes an existing attempt instead of starting an attempt. */
   readonly resumePoint?: ResumePoint;
 }
@@ -176,12 +177,14 @@
 /**
  * Why the session ended an attempt before its answer was whole. `broken`: the
  * connection to the upstream or agent ended. `misplaced`: a part of the answer
- * was missing or repeated. `stalled`: another attempt replaced it. `redundant`:
+ * was missing or repeated. `oversized`: an event exceeded the buffer's limit, so
+ * it may never end. `stalled`: another attempt replaced it. `redundant`:
  * the attempt that it was to replace went on.
  */
 export type AttemptEndCause =
   | "broken"
   | "misplaced"
+  | "oversized"
   | "stalled"
   | "redundant"
   | "deadline"
