--- a/packages/anvilhinge/src/entry/session/answer_buffer.ts
+++ b/packages/anvilhinge/src/entry/session/answer_buffer.ts
@@ -27,6 +27,8 @@
     part: Part,
     options?: { readonly isBuffered: boolean },
   ): readonly Part[];
+  /** Whether the data fits into the buffer. */
+  hasRoomFor(data: Uint8Array): boolean;
   /** Removes and returns all buffered parts. */
   takeAll(): readonly Part[];
   /** Whether any part was delivered. */
@@ -63,6 +65,8 @@
         bufferedBytes > options.limitBytes;
       return isDue ? takeAll() : [];
     },
+    hasRoomFor: ({ byteLength }) =>
+      bufferedBytes + byteLength <= options.limitBytes,
     takeAll,
     hasDelivered: () => hasDelivered,
   };
--- a/packages/anvilhinge/src/entry/session/session_core.ts
+++ b/packages/anvilhinge/src/entry/session/session_core.ts
@@ -68,6 +68,11 @@
   isWaiting: boolean;
   /** True while the next slot request is delayed after a refusal. */
   isSlotDelayed: boolean;
+  /**
+   * True once the body of a failure was delivered before its end, because it
+   * exceeded the buffer; no other attempt can continue it.
+   */
+  isFailureDelivered: boolean;
   isDone: boolean;
 }
 
@@ -190,6 +195,7 @@
     ran: "no",
     isWaiting: false,
     isSlotDelayed: false,
+    isFailureDelivered: false,
     isDone: false,
   };
 
@@ -386,7 +392,8 @@
   function isRetryPermitted(): boolean {
     // A stream of events continues after the last delivered event, so another
     // attempt delivers no event twice.
-    const canContinue = assembler !== undefined || !buffer.hasDelivered();
+    const canContinue = !shared.isFailureDelivered &&
+      (assembler !== undefined || !buffer.hasDelivered());
     return canContinue && shared.attempts < maxAttempts;
   }
 
--- a/packages/anvilhinge/src/entry/session/session_direct_test.ts
+++ b/packages/anvilhinge/src/entry/session/session_direct_test.ts
@@ -195,6 +195,21 @@
   expect(listAnswers(driver)).toEqual(["failed"]);
 });
 
+test("the body of a failure does not follow a part of the stream", () => {
+  const driver = createDriver(stream, { maxAttempts: 3 });
+  driver.feedFrame(1, 0, { body: createHead(200) });
+  driver.feedFrame(1, 1, { body: sessionDriver.createChunk(createEvent(1)) });
+  driver.feed(lost);
+  driver.feedFrame(2, 0, { body: createHead(500) });
+  driver.feedFrame(2, 1, { body: sessionDriver.createChunk("no answer") });
+  driver.feedFrame(2, 2, { body: sessionDriver.createEnd(3) });
+  driver.feedFrame(3, 0, { body: createHead(200) });
+  driver.feedFrame(3, 1, { body: sessionDriver.createChunk(createEvent(2)) });
+  driver.feedFrame(3, 2, { body: sessionDriver.createEnd(3) });
+  expect(driver.getText()).toBe(createEvent(1) + createEvent(2));
+  expect(driver.listEffects("end")).toHaveLength(1);
+});
+
 describe("more bytes than the buffer's limit", () => {
   const bufferLimitBytes = 100;
   const text = "x".repeat(bufferLimitBytes);
@@ -244,6 +259,60 @@
     expect(driver.getText()).toBe(events.join(""));
     expect(driver.listEffects("end")).toHaveLength(1);
   });
+
+  test.each([["safe request", repeatable], ["stream", stream]])(
+    "in the body of a failure are replaced by another attempt: %s",
+    (_, request) => {
+      const driver = createDriver(request, limited);
+      driver.feedFrame(1, 0, { body: createHead(500) });
+      driver.feedFrame(1, 1, { body: sessionDriver.createChunk(`${text}x`) });
+      expect(driver.getText()).toBe("");
+      expect(listCancelled(driver)).toEqual(["a1"]);
+      expect(driver.listEffects("observe")).toMatchObject([
+        { outcome: "failed", upstream: { id: "g/0" } },
+      ]);
+      driver.feedFrame(2, 0, { body: createHead(200) });
+      driver.feedFrame(2, 1, {
+        body: sessionDriver.createChunk(createEvent(1)),
+      });
+      driver.feedFrame(2, 2, { body: sessionDriver.createEnd(3) });
+      expect(driver.getText()).toBe(createEvent(1));
+      expect(driver.listEffects("head").map(({ head }) => head.status))
+        .toEqual([200]);
+    },
+  );
+
+  test.each([
+    ["safe request", repeatable],
+    ["unsafe request", nonRepeatable],
+    ["stream", stream],
+  ])(
+    "in the body of the last failure are delivered alone: %s",
+    (_, request) => {
+      const driver = createDriver(request, { ...limited, maxAttempts: 1 });
+      driver.feedFrame(1, 0, { body: createHead(500) });
+      driver.feedFrame(1, 1, { body: sessionDriver.createChunk(`${text}x`) });
+      driver.feedFrame(1, 2, { body: sessionDriver.createChunk("y") });
+      driver.feedFrame(1, 3, { body: sessionDriver.createEnd(4) });
+      expect(driver.getText()).toBe(`${text}xy`);
+      expect(driver.listEffects("end")).toHaveLength(1);
+    },
+  );
+
+  test("in the body of a failure are not followed by a stream", () => {
+    let retries = 0;
+    const driver = createDriver(stream, {
+      ...limited,
+      // The budget has no retry at the limit and has one again at the end.
+      takeRetry: () => (retries += 1) > 1,
+    });
+    driver.feedFrame(1, 0, { body: createHead(500) });
+    driver.feedFrame(1, 1, { body: sessionDriver.createChunk(`${text}x`) });
+    expect(driver.getText()).toBe(`${text}x`);
+    driver.feed(lost);
+    expect(driver.listEffects("dispatch")).toHaveLength(1);
+    expect(listAnswers(driver)).toEqual(["failed"]);
+  });
 });
 
 test("the first attempt resumes after the last event that the caller received", () => {
--- a/packages/anvilhinge/src/entry/session/session_frames.ts
+++ b/packages/anvilhinge/src/entry/session/session_frames.ts
@@ -192,7 +192,9 @@
     data: Uint8Array,
     sequence: number,
   ): Effects {
-    if (core.isContinuation(state) && core.isFailedAnswer(state)) return [];
+    if (options.gate === "none" && core.isFailedAnswer(state)) {
+      return applyFailureData(state, data, sequence);
+    }
     if (
       eventAssembler === undefined ||
       !attemptState.isSuccessStatus(state.status)
@@ -224,26 +226,71 @@
     return [...replacements.withdraw("redundant"), ...parts];
   }
 
-  /** Retries or delivers a complete answer with a failure status. */
-  function handleFailureStatus(
+  /**
+   * Buffers the body of a failure, so that another attempt can replace it; a
+   * body over the buffer's limit is replaced at once or else delivered.
+   */
+  function applyFailureData(
     state: attemptState.AttemptState,
-    body: Body<"end">,
+    data: Uint8Array,
+    sequence: number,
   ): Effects {
-    const failed = observe(state, "failed", body);
+    const part = { kind: "data", data, sequence } as const;
+    if (shared.isFailureDelivered) return deliver(state, buffer.add(part));
+    // The failure's body must not follow the part of the stream that was
+    // already delivered.
+    if (core.isContinuation(state)) {
+      return [
+        ...observe(state, "failed"),
+        cancel(state),
+        ...retryUncertain(state, describeFailure(state)),
+      ];
+    }
+    if (buffer.hasRoomFor(data)) {
+      return [...buffer.add(part, { isBuffered: true })];
+    }
+    const observed = observe(state, "failed");
+    const replaced = replaceFailure();
+    if (replaced !== undefined) {
+      return [...observed, cancel(state), ...replaced];
+    }
+    shared.isFailureDelivered = true;
+    return [...observed, ...deliver(state, buffer.add(part))];
+  }
+
+  /**
+   * Continues with another attempt after a failure status; returns undefined if
+   * that is not permitted.
+   */
+  function replaceFailure(): Effects | undefined {
     core.raiseRunStatus("yes");
     const continued = core.switchToReplacement();
-    if (continued !== undefined) return [...failed, ...continued];
+    if (continued !== undefined) return continued;
     const canRetry = request.isRepeatable &&
       shared.attempts < core.maxAttempts;
-    // The failure's body must not follow the part of the stream that was
-    // already delivered.
+    if (!canRetry || !options.takeRetry()) return undefined;
+    shared.current = undefined;
+    return core.startNextAttempt();
+  }
+
+  function describeFailure(state: attemptState.AttemptState): string {
+    return `Upstream ${state.upstream.id} answered ${state.status}`;
+  }
+
+  /** Retries or delivers a complete answer with a failure status. */
+  function handleFailureStatus(
+    state: attemptState.AttemptState,
+    body: Body<"end">,
+  ): Effects {
+    const failed = observe(state, "failed", body);
+    if (shared.isFailureDelivered) return complete(state, failed);
     if (buffer.hasDelivered()) {
-      const message = `Upstream ${state.upstream.id} answered ${state.status}`;
-      return [...failed, ...retryUncertain(state, message)];
+      return [...failed, ...retryUncertain(state, describeFailure(state))];
     }
-    if (!canRetry || !options.takeRetry()) return complete(state, failed);
-    shared.current = undefined;
-    return [...failed, ...core.startNextAttempt()];
+    const replaced = replaceFailure();
+    return replaced === undefined
+      ? complete(state, failed)
+      : [...failed, ...replaced];
   }
 
   function handleEnd(
