--- a/packages/anvilhinge/src/entry/callers/routed_answer.ts
+++ b/packages/anvilhinge/src/entry/callers/routed_answer.ts
@@ -126,6 +126,14 @@
     response.writeHead(head.status, [...head.headers.flat(), ...extraHeaders]);
   }
 
+  /** Closes the connection so that the answer can't seem complete. */
+  function breakOff(): void {
+    // Without a length or chunks, an orderly close would be the answer's end.
+    const isFramed = response.chunkedEncoding || hasContentLength();
+    if (!isFramed) response.socket?.resetAndDestroy();
+    response.destroy();
+  }
+
   function hasContentLength(): boolean {
     return head?.headers.some(([name]) =>
       name.toLowerCase() === "content-length"
@@ -166,7 +174,7 @@
       // the caller that the answer is incomplete.
       const error = convertFinalAnswer(final);
       reason = error.message;
-      if (isOpen) response.destroy();
+      if (isOpen) breakOff();
       else writeErrorAnswer(response, error);
     },
   };
