--- a/packages/anvilhinge/src/entry/callers/routed_answer.ts
+++ b/packages/anvilhinge/src/entry/callers/routed_answer.ts
@@ -4,6 +4,7 @@
 import type * as engine from "../../ports/engine.ts";
 import type * as runner from "../session/runner.ts";
 import type * as session from "../session/session.ts";
+import * as sessionCore from "../session/session_core.ts";
 
 /** Answer with which the entry itself refuses or fails a request. */
 export interface ErrorAnswer {
@@ -81,6 +82,12 @@
 export interface RoutedAnswerWriterOptions {
   /** True if the answer is buffered and sent in one piece. */
   readonly isWhole: boolean;
+  /**
+   * Maximum number of buffered bytes of a whole answer, as of the session; a
+   * longer answer is sent as it arrives.
+   * @default 8388608
+   */
+  readonly bufferLimitBytes?: number;
   readonly clock: clock.Clock;
   /** Called with each gap between two consecutive parts, in milliseconds. */
   readonly onGap: (pauseMs: number) => void;
@@ -92,10 +99,12 @@
  */
 export function createRoutedAnswerWriter(
   response: http.ServerResponse,
-  { isWhole, clock, onGap }: RoutedAnswerWriterOptions,
+  { isWhole, bufferLimitBytes, clock, onGap }: RoutedAnswerWriterOptions,
 ): RoutedAnswerWriter {
   let head: engine.AnswerHead | undefined;
+  const limitBytes = bufferLimitBytes ?? sessionCore.defaultBufferLimitBytes;
   let bufferedParts: Uint8Array[] = [];
+  let bufferedBytes = 0;
   let isOpen = false;
   let firstAtMs: number | undefined;
   let lastAtMs: number | undefined;
@@ -126,6 +135,13 @@
     response.writeHead(head.status, [...head.headers.flat(), ...extraHeaders]);
   }
 
+  function takeParts(): readonly Uint8Array[] {
+    const taken = bufferedParts;
+    bufferedParts = [];
+    bufferedBytes = 0;
+    return taken;
+  }
+
   /** Closes the connection so that the answer can't seem complete. */
   function breakOff(): void {
     // Without a length or chunks, an orderly close would be the answer's end.
@@ -150,17 +166,15 @@
       response.statusCode = received.status;
     },
     data(data) {
-      if (isWhole && !isOpen) {
-        bufferedParts.push(data);
-        return;
-      }
+      bufferedParts.push(data);
+      bufferedBytes += data.byteLength;
+      if (isWhole && !isOpen && bufferedBytes <= limitBytes) return;
       open();
-      recordPart();
-      response.write(data);
+      if (!isWhole) recordPart();
+      for (const part of takeParts()) response.write(part);
     },
     end() {
-      const body = Buffer.concat(bufferedParts);
-      bufferedParts = [];
+      const body = Buffer.concat(takeParts());
       const isBodyless = head?.status === 204 || head?.status === 304;
       const extraHeaders =
         isOpen || hasContentLength() || isBodyless || head?.isCloseDelimited
