--- a/packages/anvilhinge/src/entry/choice/dispatch_policy.ts
+++ b/packages/anvilhinge/src/entry/choice/dispatch_policy.ts
@@ -61,8 +61,9 @@
 }
 
 interface OpenAttempt {
-  readonly upstreamId: string;
   readonly sentAtMs: number;
+  /** Whether its latest frame refused it because the engine is down. */
+  isEngineDown: boolean;
 }
 
 const stallCheckIntervalMs = 250;
@@ -144,16 +145,26 @@
   ): RequestPolicy {
     const prefixKeys = computePrefixKeys(request, need);
     const isWatched = need.kind === "model";
-    let current: OpenAttempt | undefined;
-    let isEngineDown = false;
+    /** Open attempts by upstream id; a stalled attempt and its replacement. */
+    const openAttempts = new Map<string, OpenAttempt>();
     budget.recordRequest();
 
-    function endAttempt(outcome: Omit<upstreams.Outcome, "sentAtMs">): void {
-      if (current === undefined) return;
-      const { upstreamId, sentAtMs } = current;
-      current = undefined;
+    function endAttempt(
+      upstreamId: string,
+      { kind, load }: Pick<upstreams.Outcome, "kind" | "load">,
+    ): void {
+      const attempt = openAttempts.get(upstreamId);
+      if (attempt === undefined) {
+        return table.recordOutcome(upstreamId, { kind, load });
+      }
+      openAttempts.delete(upstreamId);
       if (isWatched) watch.end(upstreamId);
-      table.recordOutcome(upstreamId, { ...outcome, sentAtMs, prefixKeys });
+      table.recordOutcome(upstreamId, {
+        kind,
+        load,
+        sentAtMs: attempt.sentAtMs,
+        prefixKeys,
+      });
     }
 
     function watchStream(
@@ -162,11 +173,13 @@
       return {
         ...stream,
         onFrame(frame) {
-          if (current !== undefined) watch.recordProgress(current.upstreamId);
-          const { body } = frame;
-          // Counts the refusal as a failure: the agent is up, its engine is not.
-          isEngineDown = body.kind === "refused" &&
-            body.reason === "engine_unavailable";
+          const attempt = openAttempts.get(stream.upstreamId);
+          if (attempt !== undefined) {
+            const { body } = frame;
+            watch.recordProgress(stream.upstreamId);
+            attempt.isEngineDown = body.kind === "refused" &&
+              body.reason === "engine_unavailable";
+          }
           // Counts each chunk as one token of the workspace's token limit.
           if (isWatched && frame.body.kind === "chunk") {
             workspaces.recordTokens(request.workspace, 1);
@@ -185,18 +198,18 @@
         }),
       takeRetry: budget.take,
       recordDispatch(upstream) {
-        endAttempt({ kind: "abandoned" });
-        current = { upstreamId: upstream.id, sentAtMs: clock.now() };
+        openAttempts.set(upstream.id, {
+          sentAtMs: clock.now(),
+          isEngineDown: false,
+        });
         if (isWatched) watch.start(upstream.id, upstreams.formatPoolName(need));
         table.recordDispatch(upstream.id);
       },
       recordOutcome({ upstream, outcome, load }) {
-        if (current?.upstreamId === upstream.id) {
-          endAttempt({ kind: isEngineDown ? "failed" : outcome, load });
-          return;
-        }
-        // The request has no open attempt at this upstream.
-        table.recordOutcome(upstream.id, { kind: outcome, load });
+        // Counts the refusal as a failure: the agent is up, its engine is not.
+        const isEngineDown = openAttempts.get(upstream.id)?.isEngineDown;
+        const kind = isEngineDown ? "failed" : outcome;
+        endAttempt(upstream.id, { kind, load });
       },
       watchFrames: (client) => ({
         ...client,
@@ -204,7 +217,9 @@
         resume: (point, stream) => client.resume(point, watchStream(stream)),
       }),
       end() {
-        endAttempt({ kind: "abandoned" });
+        for (const id of [...openAttempts.keys()]) {
+          endAttempt(id, { kind: "abandoned" });
+        }
         if (isAdmitted) workspaces.release(request.workspace);
       },
     };
--- a/packages/anvilhinge/src/entry/session/agent_client.ts
+++ b/packages/anvilhinge/src/entry/session/agent_client.ts
@@ -17,11 +17,8 @@
   };
 
 export interface StreamOptions {
-  /**
-   * Id of the upstream to which the attempt is addressed. Used only without
-   * agents; an agent checks the group and rank in the attempt.
-   */
-  readonly upstreamId?: string;
+  /** Id of the upstream to which the attempt is addressed. */
+  readonly upstreamId: string;
   readonly address: string;
   readonly headers?: Readonly<Record<string, string>>;
   readonly signal: AbortSignal;
--- a/packages/anvilhinge/src/entry/session/attempt_state.ts
+++ b/packages/anvilhinge/src/entry/session/attempt_state.ts
@@ -20,7 +20,10 @@
   incarnation: string;
   startByMs: number;
   nextSequence: number;
+  /** Number of resumes after a lost connection or a misplaced frame. */
   resumes: number;
+  /** Number of resumes after stalls since the last frame. */
+  stallResumes: number;
   /** True when the attempt is known to have started. */
   isStarted: boolean;
   /** True from a stall until the next frame. */
@@ -50,6 +53,7 @@
     startByMs: 0,
     nextSequence: 0,
     resumes: 0,
+    stallResumes: 0,
     isStarted: false,
     isStalled: false,
     status: 0,
@@ -57,6 +61,15 @@
   };
 }
 
+/** Records the agent's description, which the dispatch of the attempt needs. */
+export function setDescription(
+  state: AttemptState,
+  { incarnation, nowMs }: frames.AgentDescription,
+): void {
+  state.incarnation = incarnation;
+  state.startByMs = nowMs + startAllowanceMs;
+}
+
 /** Creates the state of an attempt that another entry recorded in a claim. */
 export function createClaimedState(claim: claims.Claim): AttemptState {
   return {
--- a/packages/anvilhinge/src/entry/session/outcome_lookup.ts
+++ b/packages/anvilhinge/src/entry/session/outcome_lookup.ts
@@ -97,6 +97,7 @@
         signal: abort.signal,
       });
       options.client.resume({ ...claim, fromSequence: 0 }, {
+        upstreamId: claim.upstream.id,
         address: claim.upstream.address,
         signal: abort.signal,
         onFrame: receive,
--- a/packages/anvilhinge/src/entry/session/session.ts
+++ b/packages/anvilhinge/src/entry/session/session.ts
@@ -180,6 +180,9 @@
       case "arrived":
         return startRequest();
       case "prepared":
+        if (shared.replacement?.state.attemptId === event.attemptId) {
+          return replacements.handlePrepared(event.outcome);
+        }
         return shared.current !== undefined &&
             isCurrent(event.attemptId, "preparing")
           ? handlePrepared(shared.current, event.outcome)
--- a/packages/anvilhinge/src/entry/session/session_claims.ts
+++ b/packages/anvilhinge/src/entry/session/session_claims.ts
@@ -39,8 +39,7 @@
       const reason = `Upstream ${state.upstream.id} can't be reached`;
       return [...observe(state, "lost"), ...retryNotRun(reason, 0)];
     }
-    state.incarnation = outcome.incarnation;
-    state.startByMs = outcome.nowMs + attemptState.startAllowanceMs;
+    attemptState.setDescription(state, outcome);
     if (request.isRepeatable) return dispatch(state);
     state.phase = "claiming";
     return [{
--- a/packages/anvilhinge/src/entry/session/session_core.ts
+++ b/packages/anvilhinge/src/entry/session/session_core.ts
@@ -109,6 +109,8 @@
   startNextAttempt(): Effects;
   /** Starts an attempt at the given upstream. */
   startAttemptAt(upstream: types.Upstream): Effects;
+  /** Prepares an attempt, or dispatches it if there is no agent. */
+  beginAttempt(state: attemptState.AttemptState): Effects;
   /** Dispatches a prepared attempt. */
   dispatch(state: attemptState.AttemptState): Effects;
   /** Retries or finishes after an attempt that certainly did not run. */
@@ -303,7 +305,11 @@
     const state = createAttempt(upstream);
     resetAnswer();
     shared.current = state;
-    const { attemptId } = state;
+    return beginAttempt(state);
+  }
+
+  function beginAttempt(state: attemptState.AttemptState): Effects {
+    const { upstream, attemptId } = state;
     return options.gate === "none"
       ? dispatch(state)
       : [{ kind: "prepare", upstream, attemptId }];
@@ -444,6 +450,7 @@
     resetStallTimer,
     startNextAttempt,
     startAttemptAt,
+    beginAttempt,
     dispatch,
     retryNotRun,
     retryUnsent,
--- a/packages/anvilhinge/src/entry/session/session_direct_test.ts
+++ b/packages/anvilhinge/src/entry/session/session_direct_test.ts
@@ -119,6 +119,16 @@
   expect(driver.listEffects("end")).toHaveLength(1);
 });
 
+test("a late refusal after a replacement that failed is not answered with not run", () => {
+  const driver = createDriver(repeatable);
+  driver.feed({ kind: "timer", name: "stall" });
+  driver.feedFrame(2, 0, { body: createHead(500) });
+  driver.feedFrame(1, 0, { body: sessionDriver.createRefusal("overloaded") });
+  expect(driver.listEffects("answer")).toMatchObject([
+    { answer: { kind: "failed", ran: "yes" } },
+  ]);
+});
+
 test("the deadline ends and cancels a dispatched request, repeatable or not", () => {
   for (const request of [repeatable, nonRepeatable]) {
     const driver = createDriver(request);
--- a/packages/anvilhinge/src/entry/session/session_frames.ts
+++ b/packages/anvilhinge/src/entry/session/session_frames.ts
@@ -41,7 +41,7 @@
   const { retryNotRun, retryUnsent, retryUncertain, cancel } = core;
   const maxResumes = options.maxResumes ?? defaultMaxResumes;
 
-  /** Resumes, seals or retries an attempt whose stream broke or stalled. */
+  /** Resumes, seals or retries an attempt whose stream broke. */
   function handleBroken(
     state: attemptState.AttemptState,
     message: string,
@@ -80,21 +80,33 @@
   }
 
   function handleStall(): Effects {
-    if (shared.current?.phase !== "sent") return [];
+    const state = shared.current;
+    if (state?.phase !== "sent") return [];
+    if (!request.isRepeatable) {
+      // A slow attempt that must not run twice continues as long as its agent
+      // answers the seal with `running`.
+      return options.gate === "none" ? [] : sendSeal(state);
+    }
+    state.isStalled = true;
     // A stall alone does not end the answer.
-    if (options.gate === "none") {
-      shared.current.isStalled = true;
-      return request.isRepeatable ? replacements.requestReplacement() : [];
+    return options.gate === "none"
+      ? replacements.requestReplacement()
+      : followStalled(state);
+  }
+
+  /** Resumes a stalled attempt; requests a replacement if that didn't help. */
+  function followStalled(state: attemptState.AttemptState): Effects {
+    // An agent that has not received the `run` call yet would answer a resume
+    // with `not_held`.
+    if (!state.isStarted) {
+      return [resetStallTimer(), ...replacements.requestReplacement()];
+    }
+    const resumed = sendResume(state);
+    if (state.stallResumes < maxResumes) {
+      state.stallResumes += 1;
+      return resumed;
     }
-    // A slow attempt that must not run twice continues as long as its agent
-    // answers the seal with `running`.
-    return request.isRepeatable
-      ? handleBroken(
-        shared.current,
-        "The upstream sent nothing for too long",
-        "stalled",
-      )
-      : sendSeal(shared.current);
+    return [...resumed, ...replacements.requestReplacement()];
   }
 
   function handleFrame(frame: frames.Frame): Effects {
@@ -144,6 +156,7 @@
     }
     state.nextSequence += 1;
     state.isStalled = false;
+    state.stallResumes = 0;
     return applyFrame(state, frame);
   }
 
--- a/packages/anvilhinge/src/entry/session/session_replacement.ts
+++ b/packages/anvilhinge/src/entry/session/session_replacement.ts
@@ -23,8 +23,10 @@
 export interface ReplacementHandlers {
   /** Requests a replacement of the stalled attempt. */
   requestReplacement(): Effects;
-  /** Dispatches the replacement to the given upstream. */
+  /** Starts the replacement at the given upstream. */
   start(upstream: types.Upstream): Effects;
+  /** Dispatches the replacement unless its agent can't be reached. */
+  handlePrepared(outcome: types.PrepareOutcome): Effects;
   handleFrame(
     replacement: sessionCore.Replacement,
     frame: frames.Frame,
@@ -43,7 +45,8 @@
   const { options, shared, buffer, observe, resetStallTimer, cancel } = core;
 
   function requestReplacement(): Effects {
-    if (shared.isWaiting || !core.isRetryPermitted()) return [];
+    const isPreparing = shared.replacement?.state.phase === "preparing";
+    if (shared.isWaiting || isPreparing || !core.isRetryPermitted()) return [];
     const choice = options.chooseUpstream(core.attemptedIds);
     switch (choice.kind) {
       case "none":
@@ -67,26 +70,42 @@
       ...endReplacement("lost", { cause: "stalled" }),
     ];
     shared.replacement = core.createReplacement(upstream);
-    return [...ended, ...core.dispatch(shared.replacement.state)];
+    return [...ended, ...core.beginAttempt(shared.replacement.state)];
   }
 
-  /** Ends the replacement, if there is one, and cancels its attempt. */
+  function handlePrepared(outcome: types.PrepareOutcome): Effects {
+    const state = shared.replacement?.state;
+    if (state?.phase !== "preparing") return [];
+    if (outcome.kind === "unreachable") {
+      shared.replacement = undefined;
+      return [...observe(state, "lost"), resetStallTimer()];
+    }
+    attemptState.setDescription(state, outcome);
+    return core.dispatch(state);
+  }
+
+  /**
+   * Ends the replacement, if there is one, and cancels its attempt. `ran` is its
+   * run status, by default `yes` if it has started and `unknown` otherwise.
+   */
   function endReplacement(
     outcome: Observation[1],
     report?: Observation[2],
+    ran?: types.RunStatus,
   ): Effects {
     const { replacement } = shared;
     if (replacement === undefined) return [];
     shared.replacement = undefined;
     const { state } = replacement;
+    if (state.phase === "preparing") return observe(state, "abandoned");
+    core.raiseRunStatus(ran ?? (state.isStarted ? "yes" : "unknown"));
     return [...observe(state, outcome, report), cancel(state)];
   }
 
   function failReplacement(
-    outcome: Observation[1],
-    report?: Observation[2],
+    ...end: Parameters<typeof endReplacement>
   ): Effects {
-    return [...endReplacement(outcome, report), resetStallTimer()];
+    return [...endReplacement(...end), resetStallTimer()];
   }
 
   function replaceFailing(): Effects {
@@ -118,6 +137,7 @@
   ): Verdict {
     const { state, assembler } = replacement;
     replacement.frameBytes += data.byteLength;
+    if (core.request.delivery === "streamed") return "deliverable";
     if (
       assembler === undefined || !attemptState.isSuccessStatus(state.status)
     ) {
@@ -171,8 +191,12 @@
       case "end":
         return applyVerdict(checkEnd(replacement));
       case "refused":
-        return failReplacement("refused", body);
+        // The incarnation that it was addressed to may still have run it.
+        return body.reason === "wrong_incarnation"
+          ? failReplacement("refused", body)
+          : failReplacement("refused", body, "no");
       case "failed":
+        state.isStarted = true;
         return failReplacement("failed", body);
       case "not_held":
         return failReplacement("lost");
@@ -182,14 +206,18 @@
   return {
     requestReplacement,
     start,
+    handlePrepared,
     replaceFailing,
     handleFrame(replacement, frame) {
       const { state } = replacement;
-      if (frame.sequence < state.nextSequence) return [{ kind: "drop", frame }];
+      if (state.phase !== "sent" || frame.sequence < state.nextSequence) {
+        return [{ kind: "drop", frame }];
+      }
       if (
         frame.sequence > state.nextSequence ||
         !attemptState.isValidPosition(frame)
       ) {
+        state.isStarted = true;
         return failReplacement("lost", { cause: "misplaced" });
       }
       state.nextSequence += 1;
@@ -197,8 +225,12 @@
       return applyFrame(replacement, frame);
     },
     handleLost({ sent }) {
-      const ended = failReplacement("lost", { cause: "broken" });
-      if (sent) return ended;
+      const state = shared.replacement?.state;
+      if (state?.phase !== "sent") return [];
+      const isSent = sent || state.isStarted;
+      const ran = isSent ? undefined : "no";
+      const ended = failReplacement("lost", { cause: "broken" }, ran);
+      if (isSent || options.gate !== "none") return ended;
       shared.attempts -= 1;
       return core.isUnsentRetryPermitted()
         ? [...ended, ...requestReplacement()]
--- a/packages/anvilhinge/src/entry/session/session_test.ts
+++ b/packages/anvilhinge/src/entry/session/session_test.ts
@@ -297,3 +297,154 @@
   driver.feed({ kind: "caller_gone" });
   expect(driver.listEffects("cancel")).toMatchObject([{ attemptId: "a1" }]);
 });
+
+/** Times that an attempt may be resumed by default. */
+const maxResumes = 3;
+
+function feedStalls(driver: sessionDriver.Driver, count: number): void {
+  for (let stalls = 0; stalls < count; stalls += 1) driver.feed(stall);
+}
+
+function listCancelled(driver: sessionDriver.Driver) {
+  return driver.listEffects("cancel").map(({ attemptId }) => attemptId);
+}
+
+function feedWhole(driver: sessionDriver.Driver, attempt: number): void {
+  driver.feedFrame(attempt, 0, { body: accepted });
+  driver.feedFrame(attempt, 1, { body: createChunk("late") });
+  driver.feedFrame(attempt, 2, { body: createEnd(3) });
+}
+
+test("an answer that has begun is followed through any number of stalls", () => {
+  const driver = sessionDriver.createDriver();
+  driver.feedFrame(1, 0, { body: accepted });
+  driver.feedFrame(1, 1, { body: createChunk("first ") });
+  feedStalls(driver, 10);
+  expect(findFinalAnswer(driver)).toBeUndefined();
+  expect(driver.listEffects("resume")).toHaveLength(10);
+  expect(driver.listEffects("cancel")).toEqual([]);
+  driver.feedFrame(1, 2, { body: createChunk("last") });
+  driver.feedFrame(1, 3, { body: createEnd(4) });
+  expect(driver.getText()).toBe("first last");
+  expect(driver.listEffects("end")).toHaveLength(1);
+});
+
+describe.each(["streamed", "whole"] as const)(
+  "a stalled attempt without data, delivery %s,",
+  (delivery) => {
+    const chooseOnce: session.SessionOptions["chooseUpstream"] = (ids) =>
+      ids.size === 0
+        ? { kind: "chosen", upstream: sessionDriver.createUpstream(0) }
+        : { kind: "none", reason: "no upstream is left", retryAfterMs: 0 };
+
+    test.each<[string, sessionDriver.DriverOptions]>([
+      ["no attempt remains", { options: { maxAttempts: 1 } }],
+      ["the retry budget is exhausted", {
+        options: { takeRetry: () => false },
+      }],
+      ["no upstream remains", { options: { chooseUpstream: chooseOnce } }],
+      ["no other agent can be reached", { isReachable: (id) => id === "a1" }],
+    ])("is followed when %s", (_, options) => {
+      for (const isStarted of [false, true]) {
+        const driver = sessionDriver.createDriver({
+          request: { delivery },
+          ...options,
+        });
+        if (isStarted) driver.feedFrame(1, 0, { body: accepted });
+        feedStalls(driver, 10);
+        expect(findFinalAnswer(driver)).toBeUndefined();
+        expect(driver.listEffects("cancel")).toEqual([]);
+        feedWhole(driver, 1);
+        expect(driver.getText()).toBe("late");
+        expect(driver.listEffects("end")).toHaveLength(1);
+      }
+    });
+
+    test("is followed when the other upstreams refuse", () => {
+      const driver = sessionDriver.createDriver({ request: { delivery } });
+      for (const attempt of [2, 3, 4]) {
+        driver.feed(stall);
+        driver.feedFrame(attempt, 0, { body: createRefusal("overloaded") });
+      }
+      feedStalls(driver, 3);
+      expect(driver.listEffects("dispatch")).toHaveLength(4);
+      expect(listCancelled(driver)).not.toContain("a1");
+      feedWhole(driver, 1);
+      expect(driver.getText()).toBe("late");
+    });
+
+    test("is cancelled once its replacement delivers data", () => {
+      const driver = sessionDriver.createDriver({ request: { delivery } });
+      driver.feed(stall);
+      driver.feedFrame(2, 0, { body: accepted });
+      expect(listCancelled(driver)).toEqual([]);
+      driver.feedFrame(2, 1, { body: createChunk("late") });
+      // A whole answer is delivered at its end.
+      expect(listCancelled(driver)).toEqual(delivery === "whole" ? [] : ["a1"]);
+      driver.feedFrame(2, 2, { body: createEnd(3) });
+      expect(listCancelled(driver)).toEqual(["a1"]);
+      expect(driver.getText()).toBe("late");
+      expect(driver.listEffects("observe")).toMatchObject([
+        { upstream: { id: "g/0" }, outcome: "lost", cause: "stalled" },
+        { upstream: { id: "g/1" }, outcome: "completed" },
+      ]);
+    });
+
+    test("ends its replacement when it goes on first", () => {
+      const driver = sessionDriver.createDriver({ request: { delivery } });
+      driver.feed(stall);
+      feedWhole(driver, 1);
+      expect(listCancelled(driver)).toEqual(["a2"]);
+      expect(driver.getText()).toBe("late");
+    });
+  },
+);
+
+test("a started attempt is replaced only after its resumes brought nothing", () => {
+  const driver = sessionDriver.createDriver();
+  driver.feedFrame(1, 0, { body: accepted });
+  feedStalls(driver, maxResumes);
+  expect(driver.listEffects("dispatch")).toHaveLength(1);
+  driver.feed(stall);
+  expect(driver.listEffects("dispatch")).toHaveLength(2);
+});
+
+test("a lost connection keeps its limit after stalls", () => {
+  const driver = sessionDriver.createDriver();
+  driver.feedFrame(1, 0, { body: accepted });
+  driver.feedFrame(1, 1, { body: createChunk("first") });
+  feedStalls(driver, 10);
+  for (let losses = 0; losses < maxResumes; losses += 1) driver.feed(lost);
+  expect(findFinalAnswer(driver)).toBeUndefined();
+  driver.feed(lost);
+  expect(findFinalAnswer(driver)).toMatchObject({ kind: "failed", ran: "yes" });
+});
+
+test("a replacement continues when the stalled attempt is refused late", () => {
+  const driver = sessionDriver.createDriver();
+  driver.feed(stall);
+  driver.feedFrame(1, 0, { body: createRefusal("expired") });
+  expect(listCancelled(driver)).toEqual([]);
+  feedWhole(driver, 2);
+  expect(driver.getText()).toBe("late");
+});
+
+test.each(
+  [
+    ["failed", failed, "yes"],
+    ["met another incarnation", createRefusal("wrong_incarnation"), "unknown"],
+    ["stalled as well", accepted, "yes"],
+  ] as const,
+)(
+  "after a replacement that %s, a late refusal is not answered with not run",
+  (_, body, ran) => {
+    const driver = sessionDriver.createDriver({ options: { maxAttempts: 3 } });
+    driver.feed(stall);
+    driver.feedFrame(2, 0, { body });
+    driver.feed(stall);
+    driver.feedFrame(3, 0, { body: createRefusal("overloaded") });
+    driver.feedFrame(1, 0, { body: createRefusal("expired") });
+    expect(driver.listEffects("dispatch")).toHaveLength(3);
+    expect(findFinalAnswer(driver)).toMatchObject({ kind: "failed", ran });
+  },
+);
--- a/packages/anvilhinge/src/testing/session_driver.ts
+++ b/packages/anvilhinge/src/testing/session_driver.ts
@@ -6,6 +6,8 @@
 export interface DriverOptions {
   readonly request?: Partial<session.Request>;
   readonly options?: Partial<session.SessionOptions>;
+  /** Whether the agent answers when an attempt is prepared. Default: always. */
+  readonly isReachable?: (attemptId: string) => boolean;
 }
 
 export interface Driver {
@@ -13,7 +15,7 @@
   readonly session: session.Session;
   /** All effects of the session so far. */
   readonly effects: readonly session.SessionEffect[];
-  /** Feeds an event; `prepare` and `claim` effects succeed at once. */
+  /** Feeds an event; `prepare` and `claim` effects are answered at once. */
   feed(event: session.SessionEvent): void;
   /** Feeds a frame of the n-th attempt, which has the id `a<n>`. */
   feedFrame(
@@ -44,7 +46,7 @@
 
 /** Creates a session that has dispatched its first attempt. */
 export function createDriver(
-  { request, options }: DriverOptions = {},
+  { request, options, isReachable = () => true }: DriverOptions = {},
 ): Driver {
   const manual = clock.createManualClock();
   const effects: session.SessionEffect[] = [];
@@ -77,11 +79,9 @@
       effects.push(effect);
       if (effect.kind === "prepare") {
         const { attemptId } = effect;
-        const outcome = {
-          kind: "described",
-          incarnation: "i",
-          nowMs: 0,
-        } as const;
+        const outcome: session.PrepareOutcome = isReachable(attemptId)
+          ? { kind: "described", incarnation: "i", nowMs: 0 }
+          : { kind: "unreachable" };
         feed({ kind: "prepared", attemptId, outcome });
       }
       if (effect.kind === "claim") {
