--- a/packages/anvilhinge/src/adapters/direct_client.ts
+++ b/packages/anvilhinge/src/adapters/direct_client.ts
@@ -155,6 +155,9 @@
     response.on("data", (data: Buffer) => {
       hasProgressed = true;
       emitFrame({ kind: "chunk", data });
+      if (!stream.flow?.isBehind()) return;
+      response.pause();
+      stream.flow.onceCaughtUp(() => response.resume());
     });
     response.on("close", () => {
       if (isEnded) return;
--- a/packages/anvilhinge/src/adapters/direct_client_test.ts
+++ b/packages/anvilhinge/src/adapters/direct_client_test.ts
@@ -36,6 +36,7 @@
     readonly body?: string;
     readonly abortAfterMs?: number;
     readonly isDown?: boolean;
+    readonly flow?: agentClient.AnswerFlow;
   } = {},
 ): Promise<Outcome> {
   let received = "";
@@ -81,6 +82,7 @@
       upstreamId: "u1",
       address: `127.0.0.1:${port}`,
       signal: abort.signal,
+      flow: options.flow,
       onFrame({ body }) {
         bodies.push(body);
         if (body.kind === "refused") setTimeout(resolve, 20);
@@ -301,3 +303,53 @@
     expect(outcome.end).toMatchObject({ kind: "broken", sent: true });
   });
 });
+
+describe("a caller that is behind", () => {
+  const answerBytes = 24 * 1024 * 1024;
+  const answerText = `${head}Content-Length: ${answerBytes}\r\n\r\n`;
+
+  test("pauses the upstream, and the rest follows once it caught up", async () => {
+    let caughtUp = () => {};
+    let isBehind = true;
+    let writtenBytes = 0;
+    const block = Buffer.alloc(floodBlockBytes, "a");
+    const outcome = await runAttempt((socket) => {
+      socket.write(answerText);
+      function writeBlock(): void {
+        if (writtenBytes === answerBytes) return void socket.end();
+        const timer = setTimeout(() => {
+          // The upstream can't write any more: the client doesn't read.
+          isBehind = false;
+          caughtUp();
+        }, 200);
+        socket.write(block, () => {
+          clearTimeout(timer);
+          writtenBytes += block.byteLength;
+          setImmediate(writeBlock);
+        });
+      }
+      writeBlock();
+    }, {
+      flow: {
+        isBehind: () => isBehind,
+        onceCaughtUp: (listener) => void (caughtUp = listener),
+      },
+    });
+    expect(readText(outcome)).toHaveLength(answerBytes);
+    expect(isBehind).toBe(false);
+    expect(outcome.end).toEqual({ kind: "closed" });
+  });
+
+  test("ends a paused attempt when it leaves", async () => {
+    const flood = createFlood("a");
+    const outcome = await runAttempt((socket) => {
+      socket.write(`${head}\r\n`);
+      flood.write(socket);
+    }, {
+      abortAfterMs: 200,
+      flow: { isBehind: () => true, onceCaughtUp() {} },
+    });
+    expect(outcome.end).toBeUndefined();
+    expect(flood.isStopped()).toBe(true);
+  });
+});
--- a/packages/anvilhinge/src/entry/callers/routed_answer.ts
+++ b/packages/anvilhinge/src/entry/callers/routed_answer.ts
@@ -157,6 +157,10 @@
   }
 
   return {
+    flow: {
+      isBehind: () => response.writableNeedDrain,
+      onceCaughtUp: (listener) => void response.once("drain", listener),
+    },
     getStatus: () => response.statusCode,
     getReason: () => reason,
     isCut: () => isOpen && reason !== undefined,
--- a/packages/anvilhinge/src/entry/session/agent_client.ts
+++ b/packages/anvilhinge/src/entry/session/agent_client.ts
@@ -16,12 +16,22 @@
     readonly message: string;
   };
 
+/** Whether the caller takes an answer as fast as it arrives. */
+export interface AnswerFlow {
+  /** Whether the caller has yet to take data that it was sent. */
+  isBehind(): boolean;
+  /** Calls the listener once, when the caller has taken all data. */
+  onceCaughtUp(listener: () => void): void;
+}
+
 export interface StreamOptions {
   /** Id of the upstream to which the attempt is addressed. */
   readonly upstreamId: string;
   readonly address: string;
   readonly headers?: Readonly<Record<string, string>>;
   readonly signal: AbortSignal;
+  /** Set if the client pauses the stream while the caller is behind. */
+  readonly flow?: AnswerFlow;
   readonly onFrame: (frame: frames.Frame) => void;
   readonly onEnd: (end: StreamEnd) => void;
 }
--- a/packages/anvilhinge/src/entry/session/runner.ts
+++ b/packages/anvilhinge/src/entry/session/runner.ts
@@ -22,6 +22,8 @@
   ): void;
   data(data: Uint8Array, sequence: number): void;
   end(): void;
+  /** Undefined if the sink queues all data. */
+  readonly flow?: agentClient.AnswerFlow;
   /** Receives the final result when the answer can't be completed. */
   answer(final: session.FinalAnswer): void;
 }
@@ -75,7 +77,9 @@
   /** Streams by attempt id; a resumed stream replaces the earlier stream. */
   const streams = new Map<string, AbortController>();
   const events: session.SessionEvent[] = [];
+  const { flow: sinkFlow } = options.sink;
   let isFeeding = false;
+  let stallMs = 0;
 
   function requireAgents(): AgentDependencies {
     if (options.agents !== undefined) return options.agents;
@@ -87,8 +91,21 @@
   return new Promise((resolve) => {
     const timers = sessionTimers.createSessionTimers({
       scheduler: options.scheduler,
-      onDue: (name) => feed({ kind: "timer", name }),
+      onDue(name) {
+        const isCallerBehind = sinkFlow?.isBehind();
+        // A paused upstream is not silent; the timer is set again afterwards.
+        if (name === "stall" && isCallerBehind) return;
+        feed({ kind: "timer", name, isCallerBehind });
+      },
     });
+    const flow: agentClient.AnswerFlow | undefined = sinkFlow && {
+      isBehind: sinkFlow.isBehind,
+      onceCaughtUp: (listener) =>
+        sinkFlow.onceCaughtUp(() => {
+          if (!options.session.isDone()) timers.set("stall", stallMs);
+          listener();
+        }),
+    };
 
     /**
      * Queues the event and handles queued events in order. Events that effects
@@ -126,6 +143,7 @@
         address: upstream.address,
         headers: options.headers,
         signal: abort.signal,
+        flow,
         onFrame(frame) {
           if (abort.signal.aborted) return;
           if (isStaleDescription(frame)) {
@@ -238,6 +256,7 @@
         case "answer":
           return options.sink.answer(effect.answer);
         case "set_timer":
+          if (effect.name === "stall") stallMs = effect.delayMs;
           return timers.set(effect.name, effect.delayMs);
         case "observe":
           return options.onObserve(effect);
--- a/packages/anvilhinge/src/entry/session/runner_direct_test.ts
+++ b/packages/anvilhinge/src/entry/session/runner_direct_test.ts
@@ -76,3 +76,95 @@
     "completed g/1",
   ]);
 });
+
+describe("a caller that is behind", () => {
+  /** Runs a session whose caller has yet to take the first event. */
+  function createBehind() {
+    const scheduler = manualScheduler.createManualScheduler();
+    const reports: string[] = [];
+    const streams: agentClient.StreamOptions[] = [];
+    const request = { ...createRequest(), delivery: "events" as const };
+    let caughtUp = () => {};
+    let isBehind = true;
+    let attempts = 0;
+    const done = runner.runSession({
+      request,
+      session: session.createSession(request, {
+        gate: "none",
+        clock: scheduler,
+        readWallMs: () => 0,
+        createAttemptId: () => `a${++attempts}`,
+        chooseUpstream: (attemptedIds) => ({
+          kind: "chosen",
+          upstream: sessionDriver.createUpstream(attemptedIds.size),
+        }),
+        takeRetry: () => true,
+        maxAttempts: 2,
+        stallMs: 100,
+      }),
+      client: {
+        run: (_attempt, stream) => void streams.push(stream),
+        resume: () => {},
+        seal: () => Promise.resolve("unreachable"),
+        cancel: () => {},
+      },
+      scheduler,
+      sink: {
+        head() {},
+        data() {},
+        end() {},
+        answer: ({ kind }) => void reports.push(`answer ${kind}`),
+        flow: {
+          isBehind: () => isBehind,
+          onceCaughtUp: (listener) => void (caughtUp = listener),
+        },
+      },
+      callerSignal: new AbortController().signal,
+      onDispatch: ({ id }) => void reports.push(`sent ${id}`),
+      onObserve: ({ upstream, outcome, cause }) =>
+        void reports.push(`${outcome} ${cause} ${upstream.id}`),
+    });
+    const name = { requestId: "r1", attemptId: "a1" };
+    const head = { status: 200, headers: [] };
+    const data = Buffer.from("id: 1\n\n");
+    [
+      { kind: "accepted", incarnation: "", head } as const,
+      { kind: "chunk", data } as const,
+    ].forEach((body, sequence) =>
+      streams[0]!.onFrame({ ...name, sequence, body })
+    );
+    streams[0]!.flow!.onceCaughtUp(() => {});
+    return {
+      scheduler,
+      reports,
+      done,
+      catchUp() {
+        isBehind = false;
+        caughtUp();
+      },
+    };
+  }
+
+  test("does not make its upstream seem stalled or lost", async () => {
+    const { scheduler, reports, done } = createBehind();
+    scheduler.advance(500);
+    expect(reports).toEqual(["sent g/0"]);
+    scheduler.advance(500);
+    await done;
+    expect(reports).toEqual([
+      "sent g/0",
+      "abandoned deadline g/0",
+      "answer deadline_exceeded",
+    ]);
+  });
+
+  test("has its upstream's silence measured from when it caught up", () => {
+    const { scheduler, reports, catchUp } = createBehind();
+    scheduler.advance(250);
+    catchUp();
+    scheduler.advance(99);
+    expect(reports).toEqual(["sent g/0"]);
+    scheduler.advance(1);
+    expect(reports).toEqual(["sent g/0", "sent g/1"]);
+  });
+});
--- a/packages/anvilhinge/src/entry/session/session.ts
+++ b/packages/anvilhinge/src/entry/session/session.ts
@@ -53,7 +53,7 @@
     return sendResume(shared.current);
   }
 
-  function handleDeadline(): Effects {
+  function handleDeadline(isCallerBehind = false): Effects {
     const message = "The deadline passed before the answer was complete";
     const state = shared.current;
     if (state === undefined) {
@@ -65,7 +65,9 @@
     if (state.phase === "preparing" || state.phase === "claiming") {
       return finishUnsent(state, message);
     }
-    const observed = observe(state, "lost", { cause: "deadline" });
+    // A slow caller says nothing about the upstream, which had to wait for it.
+    const outcome = isCallerBehind ? "abandoned" : "lost";
+    const observed = observe(state, outcome, { cause: "deadline" });
     // A claimed attempt is not cancelled: a later lookup can find its outcome.
     if (!request.isRepeatable && options.gate !== "none") {
       return [...observed, ...finishUnknown(message)];
@@ -164,10 +166,15 @@
     ];
   }
 
-  function handleTimer(name: types.TimerName): Effects {
+  function handleTimer(
+    { name, isCallerBehind }: Extract<
+      types.SessionEvent,
+      { readonly kind: "timer" }
+    >,
+  ): Effects {
     switch (name) {
       case "deadline":
-        return handleDeadline();
+        return handleDeadline(isCallerBehind);
       case "stall":
         return frameHandlers.handleStall();
       case "slot":
@@ -213,7 +220,7 @@
           ? handleSealAnswer(shared.current, event.outcome)
           : [];
       case "timer":
-        return handleTimer(event.name);
+        return handleTimer(event);
       case "caller_gone":
         return handleCallerGone();
     }
--- a/packages/anvilhinge/src/entry/session/session_types.ts
+++ b/packages/anvilhinge/src/entry/session/session_types.ts
@@ -168,7 +168,12 @@
     readonly attemptId: string;
     readonly outcome: SealResult;
   }
-  | { readonly kind: "timer"; readonly name: TimerName }
+  | {
+    readonly kind: "timer";
+    readonly name: TimerName;
+    /** Whether the caller has yet to take data that it was sent. */
+    readonly isCallerBehind?: boolean;
+  }
   | { readonly kind: "caller_gone" };
 
 /** `slot`: a slot is requested again after a refusal. */
