--- a/packages/anvilhinge/src/entry/session/session.ts
+++ b/packages/anvilhinge/src/entry/session/session.ts
@@ -56,6 +56,9 @@
   function handleDeadline(isCallerBehind = false): Effects {
     const message = "The deadline passed before the answer was complete";
     const state = shared.current;
+    if (state === undefined && shared.ran !== "no") {
+      return finish({ kind: "deadline_exceeded", message, ran: shared.ran });
+    }
     if (state === undefined) {
       return shared.isWaiting || shared.isSlotDelayed
         ? finishNotRun(message, 0)
--- a/packages/anvilhinge/src/entry/session/session_direct_test.ts
+++ b/packages/anvilhinge/src/entry/session/session_direct_test.ts
@@ -813,3 +813,10 @@
   expect(driver.getText()).toBe("not found\n");
   expect(driver.listEffects("end")).toHaveLength(1);
 });
+
+test("the deadline is reported as such while a broken stream waits for a slot", () => {
+  const driver = createDriver(stream, { chooseUpstream: chooseThenWait() });
+  driver.feed(lost);
+  driver.feed({ kind: "timer", name: "deadline" });
+  expect(listAnswers(driver)).toEqual(["deadline_exceeded"]);
+});
