--- a/packages/anvilhinge/src/entry/session/session_core.ts
+++ b/packages/anvilhinge/src/entry/session/session_core.ts
@@ -41,7 +41,10 @@
   /** Number of attempts started so far. */
   attempts: number;
   current: attemptState.AttemptState | undefined;
-  /** Undefined unless the current attempt has stalled. */
+  /**
+   * Set from its start until it, or the attempt that it is to replace, delivers
+   * data or ends.
+   */
   replacement: Replacement | undefined;
   /** Id of the attempt that delivered the last data; undefined before. */
   deliveringId: string | undefined;
@@ -69,10 +72,10 @@
   /** True while the next slot request is delayed after a refusal. */
   isSlotDelayed: boolean;
   /**
-   * True once the body of a failure was delivered before its end, because it
-   * exceeded the buffer; no other attempt can continue it.
+   * True once a body that is a failure or no events was delivered before its
+   * end, because it exceeded the buffer; no other attempt can continue it.
    */
-  isFailureDelivered: boolean;
+  isEventlessDelivered: boolean;
   isDone: boolean;
 }
 
@@ -132,7 +135,10 @@
   isRetryPermitted(): boolean;
   /** Whether the attempt continues an answer that another attempt began. */
   isContinuation(state: attemptState.AttemptState): boolean;
-  /** Whether the attempt's answer is a failure, or can't continue another. */
+  /**
+   * Whether the attempt's answer is a failure, or continues another's with a
+   * status that is not a success.
+   */
   isFailedAnswer(state: attemptState.AttemptState): boolean;
   /** Withdraws the slot request, if there is one. */
   withdrawSlotRequest(): void;
@@ -197,7 +203,7 @@
     ran: "no",
     isWaiting: false,
     isSlotDelayed: false,
-    isFailureDelivered: false,
+    isEventlessDelivered: false,
     isDone: false,
   };
 
@@ -398,7 +404,7 @@
   function isRetryPermitted(): boolean {
     // A stream of events continues after the last delivered event, so another
     // attempt delivers no event twice.
-    const canContinue = !shared.isFailureDelivered &&
+    const canContinue = !shared.isEventlessDelivered &&
       (assembler !== undefined || !buffer.hasDelivered());
     return canContinue && shared.attempts < maxAttempts;
   }
--- a/packages/anvilhinge/src/entry/session/session_direct_test.ts
+++ b/packages/anvilhinge/src/entry/session/session_direct_test.ts
@@ -323,6 +323,21 @@
     expect(driver.listEffects("dispatch")).toHaveLength(1);
     expect(listAnswers(driver)).toEqual(["failed"]);
   });
+
+
+  test.each(
+    [["breaks", lost], ["stalls", { kind: "timer", name: "stall" }]] as const,
+  )(
+    "in the body of a 404 that %s are not followed by a stream",
+    (_, event) => {
+      const driver = createDriver(stream, limited);
+      driver.feedFrame(1, 0, { body: createHead(404) });
+      driver.feedFrame(1, 1, { body: sessionDriver.createChunk(`${text}x`) });
+      expect(driver.getText()).toBe(`${text}x`);
+      driver.feed(event);
+      expect(driver.listEffects("dispatch")).toHaveLength(1);
+    },
+  );
 });
 
 test("the first attempt resumes after the last event that the caller received", () => {
--- a/packages/anvilhinge/src/entry/session/session_frames.ts
+++ b/packages/anvilhinge/src/entry/session/session_frames.ts
@@ -214,10 +214,11 @@
     ) {
       // Buffers an answer without events, so that another attempt can replace it.
       const isBuffered = eventAssembler !== undefined;
-      return deliver(
-        state,
-        buffer.add({ kind: "data", data, sequence }, { isBuffered }),
-      );
+      const parts = buffer.add({ kind: "data", data, sequence }, {
+        isBuffered,
+      });
+      if (isBuffered && parts.length > 0) shared.isEventlessDelivered = true;
+      return deliver(state, parts);
     }
     const pushed = eventAssembler.push(data);
     if (pushed.kind !== "events") {
@@ -249,7 +250,7 @@
     sequence: number,
   ): Effects {
     const part = { kind: "data", data, sequence } as const;
-    if (shared.isFailureDelivered) return deliver(state, buffer.add(part));
+    if (shared.isEventlessDelivered) return deliver(state, buffer.add(part));
     // The failure's body must not follow the part of the stream that was
     // already delivered.
     if (core.isContinuation(state)) {
@@ -267,7 +268,7 @@
     if (replaced !== undefined) {
       return [...observed, cancel(state), ...replaced];
     }
-    shared.isFailureDelivered = true;
+    shared.isEventlessDelivered = true;
     return [...observed, ...deliver(state, buffer.add(part))];
   }
 
@@ -296,7 +297,7 @@
     body: Body<"end">,
   ): Effects {
     const failed = observe(state, "failed", body);
-    if (shared.isFailureDelivered) return complete(state, failed);
+    if (shared.isEventlessDelivered) return complete(state, failed);
     if (buffer.hasDelivered()) {
       return [...failed, ...retryUncertain(state, describeFailure(state))];
     }
