--- a/packages/anvilhinge/src/entry/session/session_direct_test.ts
+++ b/packages/anvilhinge/src/entry/session/session_direct_test.ts
@@ -324,7 +324,6 @@
     expect(listAnswers(driver)).toEqual(["failed"]);
   });
 
-
   test.each(
     [["breaks", lost], ["stalls", { kind: "timer", name: "stall" }]] as const,
   )(
@@ -829,6 +828,76 @@
   expect(driver.listEffects("end")).toHaveLength(1);
 });
 
+describe("the search for a replacement", () => {
+  function countDispatches(driver: sessionDriver.Driver): number {
+    return driver.listEffects("dispatch").length;
+  }
+
+  it("goes on after the slot of a second replacement was refused", () => {
+    const driver = createDriver(stream, {
+      chooseUpstream: chooseThenWait(),
+      maxAttempts: 3,
+    });
+    feedStall(driver);
+    const upstream = sessionDriver.createUpstream(1);
+    driver.feed({ kind: "granted", upstream });
+    driver.feed({ kind: "timer", name: "stall" });
+    driver.feed({ kind: "denied", reason: "full", retryAfterMs: 300 });
+    driver.feed({ kind: "timer", name: "slot" });
+    expect(driver.effects.at(-1)).toMatchObject({
+      kind: "set_timer",
+      name: "stall",
+    });
+  });
+
+  it("goes on at once after a replacement was refused", () => {
+    const driver = createDriver(stream, { maxAttempts: 3 });
+    feedStall(driver);
+    const body = sessionDriver.createRefusal("overloaded");
+    driver.feedFrame(2, 0, { body });
+    expect(countDispatches(driver)).toBe(3);
+  });
+
+  it("starts one attempt for a replacement that was never sent", () => {
+    const driver = createDriver(stream, { maxAttempts: 3 });
+    feedStall(driver);
+    driver.feed({ ...lost, attemptId: "a2", sent: false });
+    expect(countDispatches(driver)).toBe(3);
+    expect(listCancelled(driver)).toEqual(["a2"]);
+  });
+
+  it("uses no slot that is granted after the attempt has gone on", () => {
+    let taken = 0;
+    let withdrawn = 0;
+    const driver = createDriver(repeatable, {
+      chooseUpstream: chooseThenWait(),
+      takeRetry: () => (taken += 1) > 0,
+      withdrawSlotRequest: () => void (withdrawn += 1),
+    });
+    driver.feed({ kind: "timer", name: "stall" });
+    driver.feedFrame(1, 0, { body: createHead(200) });
+    const upstream = sessionDriver.createUpstream(1);
+    driver.feed({ kind: "granted", upstream });
+    expect([countDispatches(driver), taken, withdrawn]).toEqual([1, 0, 1]);
+  });
+
+  it.each([["a stream", stream], ["a whole answer", repeatable]])(
+    "gives up one that sends small parts without end: %s",
+    (_, request) => {
+      const driver = createDriver(request, { bufferLimitBytes: 20_000 });
+      driver.feed({ kind: "timer", name: "stall" });
+      driver.feedFrame(2, 0, { body: createHead(200) });
+      for (let sequence = 1; sequence < 500; sequence += 1) {
+        const body = sessionDriver.createChunk("x");
+        driver.feedFrame(2, sequence, { body });
+      }
+      expect(driver.listEffects("observe")).toMatchObject([
+        { outcome: "lost", cause: "oversized", upstream: { id: "g/1" } },
+      ]);
+    },
+  );
+});
+
 test("the deadline is reported as such while a broken stream waits for a slot", () => {
   const driver = createDriver(stream, { chooseUpstream: chooseThenWait() });
   driver.feed(lost);
--- a/packages/anvilhinge/src/entry/session/session_frames.ts
+++ b/packages/anvilhinge/src/entry/session/session_frames.ts
@@ -130,8 +130,10 @@
     shared.isSlotDelayed = false;
     const { current } = shared;
     if (current === undefined) return core.startNextAttempt();
-    const isNeeded = current.isStalled && shared.replacement === undefined;
-    return isNeeded ? replacements.requestReplacement() : [];
+    if (!current.isStalled) return [];
+    return shared.replacement === undefined
+      ? replacements.requestReplacement()
+      : [resetStallTimer()];
   }
 
   function handleCurrentFrame(frame: frames.Frame): Effects {
--- a/packages/anvilhinge/src/entry/session/session_replacement.ts
+++ b/packages/anvilhinge/src/entry/session/session_replacement.ts
@@ -38,6 +38,9 @@
   withdraw(cause: types.AttemptEndCause): Effects;
 }
 
+/** Memory of one queued frame besides its data, approximately. */
+const frameOverheadBytes = 200;
+
 /** Creates the handlers that operate on the given session core. */
 export function createReplacementHandlers(
   core: sessionCore.SessionCore,
@@ -60,6 +63,10 @@
   }
 
   function start(upstream: types.Upstream): Effects {
+    if (!shared.current?.isStalled) {
+      core.withdrawSlotRequest();
+      return [];
+    }
     if (!options.takeRetry()) {
       core.withdrawSlotRequest();
       return [resetStallTimer()];
@@ -102,10 +109,14 @@
     return [...observe(state, outcome, report), cancel(state)];
   }
 
+  /** Ends a replacement that failed, and requests another one. */
   function failReplacement(
     ...end: Parameters<typeof endReplacement>
   ): Effects {
-    return [...endReplacement(...end), resetStallTimer()];
+    const ended = [...endReplacement(...end), resetStallTimer()];
+    return shared.current?.isStalled
+      ? [...ended, ...requestReplacement()]
+      : ended;
   }
 
   function replaceFailing(): Effects {
@@ -138,16 +149,19 @@
     const { state, assembler } = replacement;
     replacement.frameBytes += data.byteLength;
     if (core.request.delivery === "streamed") return "deliverable";
+    const usedBytes = replacement.frameBytes +
+      replacement.frames.length * frameOverheadBytes;
+    const verdict = usedBytes > core.maxBufferedBytes ? "oversized" : "pending";
     if (
       assembler === undefined || !attemptState.isSuccessStatus(state.status)
     ) {
       return replacement.frameBytes > core.maxBufferedBytes
         ? "deliverable"
-        : "pending";
+        : verdict;
     }
     const pushed = assembler.push(data);
     if (pushed.kind !== "events") return pushed.kind;
-    return pushed.data === undefined ? "pending" : "deliverable";
+    return pushed.data === undefined ? verdict : "deliverable";
   }
 
   /** Checks an answer that ended before it had data to deliver. */
@@ -229,12 +243,12 @@
       if (state?.phase !== "sent") return [];
       const isSent = sent || state.isStarted;
       const ran = isSent ? undefined : "no";
-      const ended = failReplacement("lost", { cause: "broken" }, ran);
-      if (isSent || options.gate !== "none") return ended;
+      const end = ["lost", { cause: "broken" }, ran] as const;
+      if (isSent || options.gate !== "none") return failReplacement(...end);
       shared.attempts -= 1;
       return core.isUnsentRetryPermitted()
-        ? [...ended, ...requestReplacement()]
-        : ended;
+        ? failReplacement(...end)
+        : [...endReplacement(...end), resetStallTimer()];
     },
     withdraw(cause) {
       core.withdrawSlotRequest();
--- a/packages/anvilhinge/src/entry/session/session_types.ts
+++ b/packages/anvilhinge/src/entry/session/session_types.ts
@@ -186,8 +186,8 @@
  * Why the session ended an attempt before its answer was whole. `broken`: the
  * connection to the upstream or agent ended. `misplaced`: a part of the answer
  * was missing or repeated. `oversized`: an event exceeded the buffer's limit, so
- * it may never end. `stalled`: another attempt replaced it. `redundant`:
- * the attempt that it was to replace went on.
+ * it may never end. `stalled`: another attempt replaced it. `redundant`: the
+ * attempt that it was to replace delivered data or completed.
  */
 export type AttemptEndCause =
   | "broken"
