--- a/packages/anvilhinge/src/entry/session/agent_client.ts
+++ b/packages/anvilhinge/src/entry/session/agent_client.ts
@@ -30,7 +30,7 @@
   readonly address: string;
   readonly headers?: Readonly<Record<string, string>>;
   readonly signal: AbortSignal;
-  /** Set if the client pauses the stream while the caller is behind. */
+  /** Where the direct client learns when to pause the stream. */
   readonly flow?: AnswerFlow;
   readonly onFrame: (frame: frames.Frame) => void;
   readonly onEnd: (end: StreamEnd) => void;
--- a/packages/anvilhinge/src/entry/session/session_types.ts
+++ b/packages/anvilhinge/src/entry/session/session_types.ts
@@ -98,10 +98,9 @@
    */
   readonly maxAttempts?: number;
   /**
-   * Maximum number of times that the broken stream of one attempt is resumed,
-   * and number of stalls in sequence that only resume a started attempt. Later
-   * stalls resume it and request another attempt, which replaces it once it
-   * delivers data.
+   * Maximum number of times that the broken stream of one attempt is resumed.
+   * Also the number of stalls in sequence that only resume a started attempt;
+   * later stalls also request its replacement.
    * @default 3
    */
   readonly maxResumes?: number;
