--- a/packages/anvilhinge/src/agent/ranks/map_rebalancer.ts
+++ b/packages/anvilhinge/src/agent/ranks/map_rebalancer.ts
@@ -124,7 +124,6 @@
   let lossUntilMs = -Infinity;
   let lastHeldStep: number | undefined;
   let enteredEpoch: number | undefined;
-  let countsEpoch: number | undefined;
   let pausedUntilMs = -Infinity;
   /** Pass of the last switch; no further round starts before that pass. */
   let switchStep = 0;
@@ -134,10 +133,6 @@
   > {
     const sample = await engine.readCounts();
     if (sample === undefined) return undefined;
-    if (sample.epoch !== countsEpoch) {
-      window.reset();
-      countsEpoch = sample.epoch;
-    }
     window.observe({ atMs: scheduler.now(), counts: sample.counts });
     return window.estimate();
   }
@@ -384,12 +379,14 @@
 
   /**
    * Measures the duration of a pass as a mean over four or more passes of this
-   * agent's rank.
+   * agent's rank. Excludes the time in which the group was stalled: with too
+   * long a duration, a pass is held too late and begins before.
    */
-  function observePass({ step }: rankPeers.RankStatus): void {
+  function observePass({ step, stalledMs }: rankPeers.RankStatus): void {
     const nowMs = scheduler.now();
     const previous = lastObservedStep;
-    if (previous === undefined || step < previous.step) {
+    const isStalled = passMs > 0 && stalledMs > stallThresholdPasses * passMs;
+    if (previous === undefined || isStalled) {
       lastObservedStep = { step, atMs: nowMs };
     } else if (step > previous.step + 3) {
       passMs = (nowMs - previous.atMs) / (step - previous.step);
@@ -407,6 +404,7 @@
       : status.step + switchRound.maxAheadPasses;
     enteredEpoch = status.epoch;
     switchStep = 0;
+    lastObservedStep = undefined;
   }
 
   return {
--- a/packages/anvilhinge/src/agent/ranks/rank_agent.ts
+++ b/packages/anvilhinge/src/agent/ranks/rank_agent.ts
@@ -3,6 +3,8 @@
  * agents, executes the orders of the group's leader, and runs the leader's work
  * while it leads the group itself.
  */
+import type * as groupStates from "@anvilhinge/coordination/dispatch/group_states";
+import type * as groupWatch from "@anvilhinge/coordination/dispatch/group_watch";
 import * as mapVersions from "@anvilhinge/coordination/maps/map_versions";
 import type * as datagrams from "../../adapters/datagrams.ts";
 import * as delay from "../../adapters/delay.ts";
@@ -10,6 +12,7 @@
 import type * as scheduler from "../../ports/scheduler.ts";
 import type * as logger from "../../telemetry/logger.ts";
 import * as remoteEngine from "./remote_engine.ts";
+import * as groupReporter from "./group_reporter.ts";
 import * as mapRebalancer from "./map_rebalancer.ts";
 import * as stallDetector from "./stall_detector.ts";
 import * as rankRpc from "./rank_rpc.ts";
@@ -33,7 +36,8 @@
   | rankRpc.CallMessage
   | rankRpc.ReceivedMessage
   | rankRpc.PollMessage
-  | rankRpc.AnswerMessage;
+  | rankRpc.AnswerMessage
+  | groupWatch.WatchMessage;
 
 export interface RankAgentOptions {
   /** Engine on the local machine. */
@@ -87,6 +91,7 @@
   "received",
   "poll",
   "answer",
+  "watch",
 ] satisfies readonly RankMessage["kind"][];
 
 /** Whether a datagram contains a message for an agent. */
@@ -118,6 +123,10 @@
           (options.getSpec()?.reportLagMs ?? defaultReportLagMs),
       }),
   });
+  const reporter = groupReporter.createGroupReporter({
+    clock: scheduler,
+    send: (message, to) => sockets.send(message, to),
+  });
   let rebalancer: mapRebalancer.MapRebalancer | undefined;
   let ownRank: number | undefined;
   /**
@@ -126,6 +135,8 @@
    */
   let firstOpenEpoch: number | undefined;
   let tickCount = 0;
+  /** Epoch of the last status that was sent. */
+  let sentEpoch: number | undefined;
   let isLeading = false;
 
   function sendStatus(status: rankPeers.RankStatus): void {
@@ -133,7 +144,10 @@
     const intervalTicks = peers.isCandidate()
       ? candidateStatusTicks
       : otherStatusTicks;
-    if (tickCount % intervalTicks !== 0) return;
+    // The leader can switch the map only once all ranks are in the same epoch.
+    const hasNewEpoch = status.epoch !== sentEpoch;
+    if (tickCount % intervalTicks !== 0 && !hasNewEpoch) return;
+    sentEpoch = status.epoch;
     const live = peers.listLive().map(({ address }) => address);
     const isForAllGroups = tickCount % otherGroupStatusTicks === 0;
     for (const address of new Set([...options.listAddresses(), ...live])) {
@@ -172,9 +186,20 @@
     };
     peers.setOwn(status);
     sendStatus(status);
+    reporter.update(buildGroupReport(status, state.isOpen));
     updateLeadership(status);
   }
 
+  function buildGroupReport(
+    { group, epoch, step, stalledMs }: rankPeers.RankStatus,
+    isOpen: boolean,
+  ): groupStates.GroupReport {
+    const others = peers.listGroup().map(({ status }) => status.engine);
+    const ranks = [options.engineAddress, ...others]
+      .map((address) => ({ address }));
+    return { group, epoch, isOpen, step, stalledMs, ranks };
+  }
+
   function updateLeadership(status: rankPeers.RankStatus): void {
     const isElected = peers.isLeading();
     if (isElected !== isLeading) {
@@ -251,6 +276,8 @@
           return calls.handlePoll(message, from);
         case "answer":
           return calls.handleAnswer(message);
+        case "watch":
+          return reporter.handleWatch(from);
       }
     },
   };
--- a/packages/anvilhinge/src/agent/ranks/rank_peers.ts
+++ b/packages/anvilhinge/src/agent/ranks/rank_peers.ts
@@ -39,6 +39,8 @@
   record(status: RankStatus, address: string): void;
   /** Returns the group of the agent at an address; undefined if unknown. */
   findGroup(address: string): string | undefined;
+  /** Lists the agents ever seen in this agent's group and epoch. */
+  listGroup(): readonly RankPeer[];
   /** Lists the live agents of this agent's group, sorted by rank. */
   listLive(): readonly RankPeer[];
   /** Whether the peer's last status is within the timeout for its rank. */
@@ -125,11 +127,16 @@
     return recent.filter((peer) => isLiveAmong(peer, recent));
   }
 
+  function isOfGroup({ status }: RankPeer): boolean {
+    return status.group === own?.group && status.epoch === own.epoch;
+  }
+
   return {
     setOwn(status) {
       own = status;
     },
     getOwn: () => own,
+    listGroup: () => [...peers.values()].filter(isOfGroup),
     record(status, address) {
       const lastSeenAtMs = options.clock.now();
       peers.set(address, { address, status, lastSeenAtMs });
@@ -139,9 +146,8 @@
     isLive: (peer) => isRecent(peer) && isLiveAmong(peer, listRecent()),
     isRecent,
     findLastSeen(rank) {
-      const ofRank = [...peers.values()].filter(({ status }) =>
-        status.rank === rank && status.group === own?.group &&
-        status.epoch === own?.epoch
+      const ofRank = [...peers.values()].filter((peer) =>
+        peer.status.rank === rank && isOfGroup(peer)
       );
       return selectLastSeen(ofRank)[0];
     },
--- a/packages/anvilhinge/src/entry/callers/routed_http.ts
+++ b/packages/anvilhinge/src/entry/callers/routed_http.ts
@@ -14,6 +14,7 @@
 import type * as routingView from "../routing/routing_view.ts";
 import * as runner from "../session/runner.ts";
 import * as session from "../session/session.ts";
+import * as returning from "./returning_callers.ts";
 import * as routedAnswer from "./routed_answer.ts";
 
 /** Whether the entry accepts requests, and how many are in progress. */
@@ -79,6 +80,7 @@
   options: RoutedHttpOptions,
 ): http.RequestListener {
   const { view, state, scheduler, dialect } = options;
+  const returningCallers = returning.createReturningCallers();
 
   function checkRequest(request: http.IncomingMessage): RequestCheck {
     const arrivedAtMs = scheduler.now();
@@ -195,6 +197,7 @@
       workspace: sessionRequest.workspace,
       priority: sessionRequest.priority,
       size: headers.size,
+      elapsedMs: returningCallers.observe(callerTimeLeftMs, route),
       deadlineAtMs: sessionRequest.deadlineAtMs,
     }, (event) => handleDecision(event));
     const sink = routedAnswer.createRoutedAnswerWriter(response, {
--- a/packages/anvilhinge/src/entry/choice/routed_policy.ts
+++ b/packages/anvilhinge/src/entry/choice/routed_policy.ts
@@ -26,6 +26,8 @@
   readonly workspace: string;
   readonly priority: number;
   readonly size: callerDialect.RequestSize | undefined;
+  /** Time for which the caller waited before this attempt, in milliseconds. */
+  readonly elapsedMs: number;
   readonly deadlineAtMs: number;
 }
 
@@ -100,6 +102,9 @@
   readonly entryId: string;
   readonly failureDomain: string;
   readonly members: slotCoordinator.EntryMembership;
+  /** Port of the agents' datagrams, the same on all machines. */
+  readonly agentPort: number;
+  readonly callerPatience: callerDialect.CallerPatience;
   readonly retries: RetryLimits;
   readonly scheduler: scheduler.Scheduler;
   readonly random: random.RandomSource;
@@ -126,6 +131,8 @@
 }
 
 const noUpstreamRetryMs = 1_000;
+/** Usual time from the dispatch of a request to its first event. */
+const firstEventMs = 200;
 const maxEjectedShare = 0.5;
 /**
  * Used part of the retry budget. The remainder is a margin, because the entries
@@ -168,6 +175,7 @@
     entryId: options.entryId,
     failureDomain: options.failureDomain,
     members: options.members,
+    agentPort: options.agentPort,
     scheduler: clock,
     random: options.random,
     sockets: options.sockets,
@@ -237,6 +245,7 @@
         )
         .map(({ listed }) => ({
           id: listed.id,
+          address: listed.address,
           pool: listed.service,
           failureDomain: listed.failureDomain,
           slots: listed.slots,
@@ -289,12 +298,26 @@
     const attempts: AttemptRecord[] = [];
     let decidedBy: string | undefined;
     let waitedMs = 0;
+    let lastEventAtMs = arrivedAtMs;
     budget.recordRequest();
 
     function measureElapsed(): number {
       return Math.round(clock.now() - arrivedAtMs);
     }
 
+    /** Computes when the request is abandoned unless it gets a slot before. */
+    function computeAbandonMs(): number {
+      const { route, deadlineAtMs } = request;
+      if (route.kind !== "stream") return deadlineAtMs;
+      const patience = options.callerPatience;
+      const silenceMs = Math.max(
+        patience.minStreamMs,
+        patience.streamLatencyTargets * route.latencyTargetMs,
+        patience.streamGapTargets * (route.gapTargetMs ?? 0),
+      );
+      return Math.min(deadlineAtMs, lastEventAtMs + silenceMs - firstEventMs);
+    }
+
     /** Releases the slot of the current attempt. */
     function releaseAttempt(): void {
       if (current !== undefined) current.openAttempts -= 1;
@@ -339,8 +362,11 @@
         promptTokens: request.size?.promptTokens ?? 0,
         answerTokens: request.size?.answerTokensHint ??
           request.size?.maxAnswerTokens ?? 0,
-        aimLeftMs: request.route.latencyTargetMs - (nowMs - arrivedAtMs),
-        leftMs: request.deadlineAtMs - nowMs,
+        aimLeftMs: request.route.latencyTargetMs - firstEventMs -
+          request.elapsedMs - (nowMs - arrivedAtMs),
+        leftMs: computeAbandonMs() - nowMs,
+        maxRetryMs: options.callerPatience.retryShare *
+          (request.deadlineAtMs - nowMs),
         avoided: [...attemptedIds, ...ejected],
       });
       return { kind: "wait" };
@@ -357,6 +383,7 @@
         return isTaken;
       },
       recordGap(gapMs) {
+        lastEventAtMs = clock.now();
         if (engine !== undefined) {
           slots.recordGap(request.service, gapMs);
         }
--- a/packages/anvilhinge/src/entry/choice/routed_policy_test.ts
+++ b/packages/anvilhinge/src/entry/choice/routed_policy_test.ts
@@ -85,6 +85,13 @@
       isHub: () => true,
       countEntries: () => 1,
     },
+    agentPort: 7_000,
+    callerPatience: {
+      minStreamMs: 2_000,
+      streamLatencyTargets: 4,
+      streamGapTargets: 8,
+      retryShare: 1 / 3,
+    },
     retries: { share: 0.2, extra: 20, windowMs: 10_000 },
     scheduler,
     random: () => 0.5,
@@ -109,6 +116,7 @@
       workspace: "w",
       priority: 1,
       size: undefined,
+      elapsedMs: 0,
       deadlineAtMs: scheduler.now() + 8_000,
     }, (event) => {
       if (event.kind === "denied") return void decisions.push("denied");
--- a/packages/anvilhinge/src/entry/choice/slot_coordinator.ts
+++ b/packages/anvilhinge/src/entry/choice/slot_coordinator.ts
@@ -5,12 +5,14 @@
  * answers, it uses its own share of the slots.
  */
 import type * as random from "@anvilhinge/coordination/random";
+import type * as groupWatch from "@anvilhinge/coordination/dispatch/group_watch";
 import type * as work from "@anvilhinge/coordination/dispatch/work";
 import * as workClient from "@anvilhinge/coordination/dispatch/work_client";
 import * as workHub from "@anvilhinge/coordination/dispatch/work_hub";
 import type * as datagrams from "../../adapters/datagrams.ts";
 import type * as scheduler from "../../ports/scheduler.ts";
 import type * as logger from "../../telemetry/logger.ts";
+import * as groupFollower from "./group_follower.ts";
 
 /** The hub, and the number of entries that share the slots. */
 export interface EntryMembership {
@@ -23,6 +25,8 @@
   readonly entryId: string;
   readonly failureDomain: string;
   readonly members: EntryMembership;
+  /** Port of the agents' datagrams, the same on all machines. */
+  readonly agentPort: number;
   readonly scheduler: scheduler.Scheduler;
   readonly random: random.RandomSource;
   readonly sockets: datagrams.Datagrams;
@@ -33,7 +37,8 @@
 
 export type DispatchMessage =
   | { readonly kind: "work"; readonly state: work.WorkState }
-  | { readonly kind: "decisions"; readonly decisions: work.Decisions };
+  | { readonly kind: "decisions"; readonly decisions: work.Decisions }
+  | groupWatch.GroupMessage;
 
 export interface SlotCoordinator {
   setUpstreams(
@@ -76,6 +81,7 @@
     clock: scheduler,
     random: options.random,
   });
+  const groups = groupFollower.createGroupFollower(options);
   /** Addresses of the entries that sent their state to this hub, by id. */
   const addresses = new Map<string, string>();
   let hubSinceMs: number | undefined;
@@ -141,7 +147,20 @@
     options.logger.info("Load of the pools", { pools: hub.describe() });
   }
 
+  /** Updates the upstreams that can serve no request, for the hub's decisions. */
+  function updateAvailability(): void {
+    const passMs = Math.max(0, ...hub.describe().map((pool) => pool.passMs));
+    hub.setUnavailable(groups.listUnavailable(passMs));
+  }
+
+  function followGroups(): void {
+    if (!members.isHub()) return;
+    groups.poll();
+    updateAvailability();
+  }
+
   function tick(): void {
+    followGroups();
     writeLoadLog();
     emit(client.tick());
     const isWaiting = client.hasWaiting();
@@ -156,6 +175,7 @@
     setUpstreams(upstreams, pools) {
       client.setUpstreams(upstreams);
       hub.setUpstreams(upstreams, pools);
+      groups.setUpstreams(upstreams);
     },
     recordGap: client.recordGap,
     requestSlot(request) {
@@ -171,11 +191,18 @@
       scheduleReport();
     },
     handle(message, senderAddress) {
-      if (message.kind === "decisions") {
-        return emit(client.receive(message.decisions));
+      switch (message.kind) {
+        case "decisions":
+          return emit(client.receive(message.decisions));
+        case "work":
+          addresses.set(message.state.entryId, senderAddress);
+          if (isActiveHub()) deliver(hub.receive(message.state));
+          return;
+        case "group":
+          groups.handle(message, senderAddress);
+          updateAvailability();
+          if (isActiveHub()) deliver(hub.decide());
       }
-      addresses.set(message.state.entryId, senderAddress);
-      if (isActiveHub()) deliver(hub.receive(message.state));
     },
     describe: hub.describe,
   };
--- a/packages/anvilhinge/src/entry/routed_entry.ts
+++ b/packages/anvilhinge/src/entry/routed_entry.ts
@@ -83,6 +83,7 @@
   "roster",
   "work",
   "decisions",
+  "group",
 ] satisfies readonly Message["kind"][];
 
 function isMessage(message: unknown): message is Message {
@@ -189,6 +190,8 @@
       isHub: roster.isHub,
       countEntries: () => roster.listLive().length,
     },
+    agentPort: hostPort.parseAddress(settings.peers).port,
+    callerPatience: platform.callerDialect.patience,
     retries: {
       share: settings.bounds.retryShare,
       extra: settings.bounds.retryExtra,
@@ -309,6 +312,7 @@
         return roster.handle(message);
       case "work":
       case "decisions":
+      case "group":
         return policy.handleMessage(message, from);
     }
   };
--- a/packages/anvilhinge/src/entry/session/session_frames.ts
+++ b/packages/anvilhinge/src/entry/session/session_frames.ts
@@ -24,6 +24,11 @@
 }
 
 const defaultMaxResumes = 3;
+/**
+ * Minimum retry delay after refusals of upstreams without agents, which may not
+ * state one: at once, the caller would meet the same requests again.
+ */
+const minRefusedRetryMs = 150;
 /** Lowest HTTP status that counts as a failure of the upstream. */
 const minFailureStatus = 500;
 
@@ -251,7 +256,10 @@
       return [...observed, ...retryUncertain(state, reason)];
     }
     shared.notRunAttemptId = state.attemptId;
-    return [...observed, ...retryNotRun(reason, body.retryAfterMs)];
+    const retryAfterMs = options.gate === "none"
+      ? Math.max(minRefusedRetryMs, body.retryAfterMs)
+      : body.retryAfterMs;
+    return [...observed, ...retryNotRun(reason, retryAfterMs)];
   }
 
   function handleSealAnswer(
--- a/packages/anvilhinge/src/ports/caller_dialect.ts
+++ b/packages/anvilhinge/src/ports/caller_dialect.ts
@@ -24,7 +24,22 @@
   readonly answerTokensHint: number | undefined;
 }
 
+/** How long callers wait. */
+export interface CallerPatience {
+  /**
+   * A caller abandons a stream after the longest of these times without an
+   * event: the minimum in milliseconds, and multiples of the route's targets
+   * for the first event and for the gap between events.
+   */
+  readonly minStreamMs: number;
+  readonly streamLatencyTargets: number;
+  readonly streamGapTargets: number;
+  /** Longest retry delay that a caller honours, as a share of its time left. */
+  readonly retryShare: number;
+}
+
 export interface CallerDialect {
+  readonly patience: CallerPatience;
   /** Decodes raw headers, a flat list of alternating names and values. */
   decodeHeaders(raw: readonly string[]): CallerHeaders;
 }
--- a/packages/coordination/src/dispatch/work.ts
+++ b/packages/coordination/src/dispatch/work.ts
@@ -21,8 +21,10 @@
   readonly ageMs: number;
   /** Time left until the target time of the first event, in milliseconds. */
   readonly aimLeftMs: number;
-  /** Time left until the request is abandoned, in milliseconds. */
+  /** Time left until the caller abandons the request, in milliseconds. */
   readonly leftMs: number;
+  /** Longest retry delay that the caller would honour, in milliseconds. */
+  readonly maxRetryMs: number;
   /** Ids of upstreams that must not be granted to the request. */
   readonly avoided: readonly string[];
 }
@@ -85,6 +87,8 @@
 /** Capacity and location of an upstream. */
 export interface UpstreamSpec {
   readonly id: string;
+  /** Address as `host:port`. */
+  readonly address: string;
   readonly pool: string;
   readonly failureDomain: string;
   /** Number of requests that it processes concurrently. */
--- a/packages/coordination/src/dispatch/work_client.ts
+++ b/packages/coordination/src/dispatch/work_client.ts
@@ -216,6 +216,7 @@
             ageMs,
             aimLeftMs: request.aimLeftMs - ageMs,
             leftMs: request.leftMs - ageMs,
+            maxRetryMs: request.maxRetryMs,
           };
         }),
       };
--- a/packages/coordination/src/testing/dispatch_simulation.ts
+++ b/packages/coordination/src/testing/dispatch_simulation.ts
@@ -77,6 +77,7 @@
     { length: options.rankCount },
     (_, rank) => ({
       id: `r${rank}`,
+      address: `10.0.0.1:${rank + 1}`,
       pool: "p",
       failureDomain: `d${rank % 3}`,
       slots: options.slots,
@@ -123,6 +124,7 @@
           ageMs: nowMs - sentAtMs,
           aimLeftMs: caller.firstAtMs + latencyTargetMs - nowMs,
           leftMs: caller.firstAtMs + deadlineMs - nowMs,
+          maxRetryMs: (caller.firstAtMs + deadlineMs - nowMs) / 3,
           avoided: [],
         })),
       running: [...running].filter(([, item]) => item.entry === entry)
