--- a/packages/anvilhinge/src/adapters/direct_client.ts
+++ b/packages/anvilhinge/src/adapters/direct_client.ts
@@ -5,6 +5,8 @@
  */
 import * as http from "node:http";
 import * as net from "node:net";
+import type * as clock from "@anvilhinge/coordination/clock";
+import type * as rateLimits from "@anvilhinge/coordination/dispatch/rate_limits";
 import type * as agentClient from "../entry/session/agent_client.ts";
 import type * as runner from "../entry/session/runner.ts";
 import type * as engine from "../ports/engine.ts";
@@ -15,6 +17,9 @@
 
 export interface DirectClientOptions {
   readonly dialect: upstreamDialect.UpstreamDialect;
+  readonly clock: clock.Clock;
+  /** Called with what each answer says about the upstream's rate limit. */
+  readonly onRateLimit: (observation: rateLimits.RateLimitObservation) => void;
   /**
    * Timeout for connecting, in milliseconds. The retransmission of a lost
    * packet takes a second or more, but another attempt takes one round trip.
@@ -75,6 +80,7 @@
   const { work } = attempt;
   if (work.kind !== "service") throw new Error("Expected service work");
   const { stream, dialect } = call;
+  const sentAtMs = call.clock.now();
   let sequence = 0;
   let isConnected = false;
   let isEnded = false;
@@ -136,6 +142,8 @@
       case "foreign":
         return failStream("The answer belongs to another request");
       case "refused": {
+        // An upstream that is not the expected one names its own limit.
+        if (interpretation.reason !== "wrong_group") observeRateLimit(head);
         const { reason, retryAfterMs } = interpretation;
         emitFrame({ kind: "refused", reason, retryAfterMs, load: unknownLoad });
         isEnded = true;
@@ -143,10 +151,18 @@
         return;
       }
       case "answered":
+        observeRateLimit(head);
         return streamAnswer(response, head);
     }
   }
 
+  function observeRateLimit(head: engine.AnswerHead): void {
+    const { upstreamId } = stream;
+    if (upstreamId === undefined) return;
+    const notice = dialect.readRateLimit(head);
+    call.onRateLimit({ upstreamId, notice, sentAtMs });
+  }
+
   function streamAnswer(
     response: http.IncomingMessage,
     head: engine.AnswerHead,
--- a/packages/anvilhinge/src/entry/choice/routed_policy.ts
+++ b/packages/anvilhinge/src/entry/choice/routed_policy.ts
@@ -3,6 +3,7 @@
  * of an upstream to each request and decides whether the retry budget permits
  * another attempt. A slot is a unit of an upstream's concurrency.
  */
+import * as rateLimits from "@anvilhinge/coordination/dispatch/rate_limits";
 import type * as workHub from "@anvilhinge/coordination/dispatch/work_hub";
 import type * as work from "@anvilhinge/coordination/dispatch/work";
 import type * as workClient from "@anvilhinge/coordination/dispatch/work_client";
@@ -56,6 +57,8 @@
 export interface AttemptRecord {
   readonly upstream: string;
   readonly sentMs: number;
+  /** Rate limit that the upstream was known to name, per second. */
+  readonly rateLimit?: number;
   /** Undefined while the attempt runs, as is the outcome. */
   endedMs?: number;
   outcome?: string;
@@ -87,7 +90,10 @@
     message: slotCoordinator.DispatchMessage,
     senderAddress: string,
   ): void;
+  /** Records what an answer says about the rate limit of its upstream. */
+  recordRateLimit(observation: rateLimits.RateLimitObservation): void;
   countRetriesLeft(): number;
+  countLimitedUpstreams(): number;
   describePools(): readonly workHub.PoolLoad[];
 }
 
@@ -110,7 +116,7 @@
   readonly logger: logger.Logger;
   readonly metrics: Pick<
     routedMetrics.RoutedMetrics,
-    "recordRetry" | "recordDecision"
+    "recordRetry" | "recordDecision" | "recordLimitedDispatch"
   >;
   readonly sockets: datagrams.Datagrams;
   readonly signal: AbortSignal;
@@ -169,6 +175,14 @@
     onChange: (change) =>
       options.logger.info("Upstream health changed", { change }),
   });
+  const limits = rateLimits.createRateLimits({
+    clock,
+    onChange: (upstreamId, requestsPerSecond) =>
+      options.logger.info("Rate limit of an upstream changed", {
+        upstream: upstreamId,
+        requestsPerSecond: requestsPerSecond ?? "none",
+      }),
+  });
   const windowSeconds = retries.windowMs / millisecondsPerSecond;
   // Burst and minimum rate together permit `extra` retries per window.
   const budget = retryBudget.createRetryBudget({
@@ -397,8 +411,14 @@
         waitedMs: Math.round(waitedMs),
       }),
       recordDispatch(upstream) {
-        const record = { upstream: upstream.id, sentMs: measureElapsed() };
+        const rateLimit = limits.get(upstream.id);
+        const record: AttemptRecord = {
+          upstream: upstream.id,
+          sentMs: measureElapsed(),
+          rateLimit,
+        };
         attempts.push(record);
+        if (rateLimit !== undefined) options.metrics.recordLimitedDispatch();
         addOpen(upstream.id, 1);
         upstreamHealth.recordSent(upstream.id);
         const slotKey = waitingKey;
@@ -467,7 +487,9 @@
     },
     startRequest,
     handleMessage: slots.handle,
+    recordRateLimit: limits.observe,
     countRetriesLeft: budget.count,
+    countLimitedUpstreams: () => limits.list().length,
     describePools: slots.describe,
   };
 }
--- a/packages/anvilhinge/src/entry/operators/routed_metrics.ts
+++ b/packages/anvilhinge/src/entry/operators/routed_metrics.ts
@@ -30,6 +30,7 @@
   readonly isHub: () => boolean;
   readonly countRetriesLeft: () => number;
   readonly describePools: () => readonly workHub.PoolLoad[];
+  readonly countLimitedUpstreams: () => number;
   readonly countDroppedLines: () => number;
   readonly getEventLoopDelayMs: () => number;
 }
@@ -39,6 +40,8 @@
   /** Records that the entry refused a request before a session began. */
   recordRefusal(reason: string): void;
   recordRetry(isTaken: boolean): void;
+  /** Records a dispatch to an upstream that names a rate limit. */
+  recordLimitedDispatch(): void;
   recordStoreCall(call: string, outcome: "answered" | "failed"): void;
   recordDecision(by: string, kind: "granted" | "denied"): void;
 }
@@ -63,6 +66,10 @@
     help: "Retries asked of the budget by outcome",
     labelNames: ["outcome"],
   });
+  const countLimitedDispatch = registry.createCounter({
+    name: "anvilhinge_limited_dispatches_total",
+    help: "Attempts sent to upstreams that name a rate limit",
+  });
   const countStoreCall = registry.createCounter({
     name: "anvilhinge_store_calls_total",
     help: "Calls to the platform's store by kind and outcome",
@@ -124,6 +131,11 @@
     "Retries that this entry may take now",
     sources.countRetriesLeft,
   );
+  registerValueGauge(
+    "anvilhinge_limited_upstreams",
+    "Upstreams that name a rate limit, as this entry knows",
+    sources.countLimitedUpstreams,
+  );
   registerValueGauge(
     "anvilhinge_dropped_log_lines",
     "Log lines that their reader did not take in time",
@@ -167,6 +179,7 @@
     recordRefusal: (reason) => countRefusal({ labels: { reason } }),
     recordRetry: (isTaken) =>
       countRetry({ labels: { outcome: isTaken ? "taken" : "refused" } }),
+    recordLimitedDispatch: () => countLimitedDispatch({}),
     recordStoreCall: (call, outcome) =>
       countStoreCall({ labels: { call, outcome } }),
     recordDecision: (by, kind) => countDecision({ labels: { by, kind } }),
--- a/packages/anvilhinge/src/entry/routed_entry.ts
+++ b/packages/anvilhinge/src/entry/routed_entry.ts
@@ -141,6 +141,7 @@
     isHub: () => roster.isHub(),
     countRetriesLeft: () => policy.countRetriesLeft(),
     describePools: () => policy.describePools(),
+    countLimitedUpstreams: () => policy.countLimitedUpstreams(),
     countDroppedLines: log.countDropped,
     getEventLoopDelayMs: routedMetrics.createEventLoopMonitor({
       signal: abort.signal,
@@ -232,6 +233,8 @@
       policy,
       client: directClient.createDirectClient({
         dialect: platform.upstreamDialect,
+        clock,
+        onRateLimit: policy.recordRateLimit,
       }),
       scheduler: clock,
       random: options.random,
--- a/packages/anvilhinge/src/ports/upstream_dialect.ts
+++ b/packages/anvilhinge/src/ports/upstream_dialect.ts
@@ -2,6 +2,7 @@
  * HTTP conventions of upstreams that are called directly: the headers that an
  * attempt carries, and the interpretation of an answer's status and headers.
  */
+import type * as rateLimits from "@anvilhinge/coordination/dispatch/rate_limits";
 import type * as engine from "./engine.ts";
 import type * as frames from "./frames.ts";
 
@@ -30,4 +31,6 @@
     head: engine.AnswerHead,
     attempt: frames.Attempt,
   ): HeadInterpretation;
+  /** Reads the rate limit that the upstream names in the head of an answer. */
+  readRateLimit(head: engine.AnswerHead): rateLimits.RateLimitNotice;
 }
