--- a/packages/anvilhinge/src/entry/choice/routed_policy.ts
+++ b/packages/anvilhinge/src/entry/choice/routed_policy.ts
@@ -177,11 +177,13 @@
   });
   const limits = rateLimits.createRateLimits({
     clock,
-    onChange: (upstreamId, requestsPerSecond) =>
-      options.logger.info("Rate limit of an upstream changed", {
+    onChange(upstreamId, requestsPerSecond) {
+      options.logger.infoRateLimited("Rate limit of an upstream changed", {
         upstream: upstreamId,
         requestsPerSecond: requestsPerSecond ?? "none",
-      }),
+      });
+      slots.reportRateLimit();
+    },
   });
   const windowSeconds = retries.windowMs / millisecondsPerSecond;
   // Burst and minimum rate together permit `extra` retries per window.
@@ -200,6 +202,7 @@
     random: options.random,
     sockets: options.sockets,
     logger: options.logger,
+    rateLimits: limits,
     signal: options.signal,
     onEvent: handleEvent,
   });
@@ -210,7 +213,9 @@
     pending.delete(event.key);
     options.metrics.recordDecision(event.by, event.kind);
     if (event.kind === "denied") {
-      const reason = `No place is expected soon (said by the ${event.by})`;
+      const reason = event.cause === "rate_limits"
+        ? "The upstreams' rate limits allow no request soon"
+        : `No place is expected soon (said by the ${event.by})`;
       const { retryAfterMs } = event;
       return request.resolve(
         { kind: "denied", reason, retryAfterMs },
@@ -281,17 +286,10 @@
     );
   }
 
-  /**
-   * Chooses an upstream with the fewest open attempts of this entry; used for
-   * services without engines.
-   */
+  /** Chooses among the usable ones an upstream with the fewest open attempts. */
   function chooseLeastLoaded(
-    service: string,
-    attemptedIds: ReadonlySet<string>,
-  ): session.UpstreamChoice {
-    const usable = listUsable(service).filter(({ listed }) =>
-      !attemptedIds.has(listed.id)
-    );
+    usable: readonly TrackedUpstream[],
+  ): TrackedUpstream | undefined {
     const healthy = usable.filter(({ listed }) =>
       upstreamHealth.isAvailable(listed.id)
     );
@@ -302,7 +300,17 @@
     const best = candidates.filter(({ listed }) =>
       countOpen(listed.id) === leastOpen
     );
-    const chosen = best[Math.floor(options.random() * best.length)];
+    return best[Math.floor(options.random() * best.length)];
+  }
+
+  /** Chooses an upstream of a service without engines. */
+  function chooseDirectly(
+    service: string,
+    attemptedIds: ReadonlySet<string>,
+  ): session.UpstreamChoice {
+    const chosen = chooseLeastLoaded(
+      listUsable(service).filter(({ listed }) => !attemptedIds.has(listed.id)),
+    );
     if (chosen === undefined) {
       const reason = `No upstream of service ${service} is left`;
       return { kind: "none", reason, retryAfterMs: noUpstreamRetryMs };
@@ -392,7 +400,7 @@
     return {
       chooseUpstream: (attemptedIds) =>
         engine === undefined
-          ? chooseLeastLoaded(request.service, attemptedIds)
+          ? chooseDirectly(request.service, attemptedIds)
           : requestSlot(attemptedIds),
       withdrawSlotRequest,
       takeRetry() {
@@ -462,6 +470,7 @@
     setUpstreams(listedUpstreams) {
       const upstreams = dropSuperseded(listedUpstreams);
       const listedIds = new Set(upstreams.map(({ id }) => id));
+      limits.setUpstreams(listedIds);
       for (const id of [...tracked.keys()]) {
         if (!listedIds.has(id)) tracked.delete(id);
       }
--- a/packages/anvilhinge/src/entry/choice/slot_coordinator.ts
+++ b/packages/anvilhinge/src/entry/choice/slot_coordinator.ts
@@ -5,6 +5,7 @@
  * answers, it uses its own share of the slots.
  */
 import type * as random from "@anvilhinge/coordination/random";
+import type * as rateLimits from "@anvilhinge/coordination/dispatch/rate_limits";
 import type * as work from "@anvilhinge/coordination/dispatch/work";
 import * as workClient from "@anvilhinge/coordination/dispatch/work_client";
 import * as workHub from "@anvilhinge/coordination/dispatch/work_hub";
@@ -27,6 +28,8 @@
   readonly random: random.RandomSource;
   readonly sockets: datagrams.Datagrams;
   readonly logger: logger.Logger;
+  /** Table of this entry, exchanged with the hub. */
+  readonly rateLimits: rateLimits.RateLimits;
   readonly signal: AbortSignal;
   readonly onEvent: (event: workClient.WorkEvent) => void;
 }
@@ -45,6 +48,10 @@
   recordStart(request: work.RunningRequest): void;
   drop(key: string): void;
   handle(message: DispatchMessage, senderAddress: string): void;
+  /** Reports a changed rate limit to the hub at once. */
+  reportRateLimit(): void;
+  /** Whether the hub has answered recently. */
+  hasHub(): boolean;
   describe(): readonly workHub.PoolLoad[];
 }
 
@@ -71,10 +78,12 @@
     entryId: options.entryId,
     failureDomain: options.failureDomain,
     countEntries: members.countEntries,
+    rateLimits: options.rateLimits,
   });
   const hub = workHub.createWorkHub({
     clock: scheduler,
     random: options.random,
+    rateLimits: options.rateLimits,
   });
   /** Addresses of the entries that sent their state to this hub, by id. */
   const addresses = new Map<string, string>();
@@ -175,8 +184,14 @@
         return emit(client.receive(message.decisions));
       }
       addresses.set(message.state.entryId, senderAddress);
-      if (isActiveHub()) deliver(hub.receive(message.state));
+      if (isActiveHub()) return deliver(hub.receive(message.state));
+      // A hub that warms up learns the rate limits before it grants slots.
+      if (message.state.rateLimits !== undefined) {
+        options.rateLimits.merge(message.state.rateLimits);
+      }
     },
+    reportRateLimit: scheduleReport,
+    hasHub: client.hasHub,
     describe: hub.describe,
   };
 }
--- /dev/null
+++ b/packages/coordination/src/dispatch/rate_budget.ts
@@ -0,0 +1,100 @@
+/**
+ * Token buckets of the hub for upstreams with a rate limit: in any time `t` the
+ * requests granted at an upstream are at most `limit x t` plus one burst. Only one
+ * entry grants, so the sum over all entries keeps the limit, however many entries
+ * there are and however small the limit is.
+ */
+import type * as clock from "../clock.ts";
+import type * as rateLimits from "./rate_limits.ts";
+
+export interface RateBudgetOptions {
+  readonly clock: clock.Clock;
+  readonly limits: Pick<rateLimits.RateLimits, "get" | "getStart">;
+}
+
+export interface RateBudget {
+  isLimited(upstreamId: string): boolean;
+  /** Whether a request may be granted; always true without a limit. */
+  hasToken(upstreamId: string): boolean;
+  /** Records that a request was granted. */
+  take(upstreamId: string): void;
+  /** Drops the buckets of all other upstreams. */
+  retain(upstreamIds: { has(upstreamId: string): boolean }): void;
+  /** Estimates the wait for a number of tokens of limited upstreams. */
+  estimateWaitMs(upstreamIds: readonly string[], tokens: number): number;
+}
+
+interface Bucket {
+  readonly tokens: number;
+  readonly updatedAtMs: number;
+}
+
+/** Time for which unused requests accumulate; at least one does. */
+const burstMs = 250;
+/**
+ * Interval at which an upstream with a lower limit gets a request all the same,
+ * because only an answer shows that its limit rose or ended.
+ */
+const probeIntervalMs = 5_000;
+const millisecondsPerSecond = 1_000;
+const minRatePerMs = 1 / probeIntervalMs;
+
+/** Creates the budget; a bucket begins empty when its limit begins. */
+export function createRateBudget(
+  { clock, limits }: RateBudgetOptions,
+): RateBudget {
+  const buckets = new Map<string, Bucket>();
+
+  function getRatePerMs(upstreamId: string): number | undefined {
+    const requestsPerSecond = limits.get(upstreamId);
+    if (requestsPerSecond === undefined) return undefined;
+    return Math.max(minRatePerMs, requestsPerSecond / millisecondsPerSecond);
+  }
+
+  function countTokens(upstreamId: string, ratePerMs: number): number {
+    const startedAtMs = limits.getStart(upstreamId) ?? clock.now();
+    const known = buckets.get(upstreamId);
+    // A bucket of an earlier limit is replaced.
+    const bucket = known !== undefined && known.updatedAtMs >= startedAtMs
+      ? known
+      : { tokens: 0, updatedAtMs: startedAtMs };
+    const capacity = Math.max(1, ratePerMs * burstMs);
+    const elapsedMs = clock.now() - bucket.updatedAtMs;
+    return Math.min(capacity, bucket.tokens + elapsedMs * ratePerMs);
+  }
+
+  return {
+    isLimited: (upstreamId) => limits.get(upstreamId) !== undefined,
+    hasToken(upstreamId) {
+      const ratePerMs = getRatePerMs(upstreamId);
+      return ratePerMs === undefined || countTokens(upstreamId, ratePerMs) >= 1;
+    },
+    take(upstreamId) {
+      const ratePerMs = getRatePerMs(upstreamId);
+      if (ratePerMs === undefined) {
+        buckets.delete(upstreamId);
+        return;
+      }
+      const tokens = countTokens(upstreamId, ratePerMs) - 1;
+      buckets.set(upstreamId, { tokens, updatedAtMs: clock.now() });
+    },
+    retain(upstreamIds) {
+      for (const id of buckets.keys()) {
+        if (!upstreamIds.has(id)) buckets.delete(id);
+      }
+    },
+    estimateWaitMs(upstreamIds, tokens) {
+      let available = 0;
+      let totalPerMs = 0;
+      for (const upstreamId of upstreamIds) {
+        const ratePerMs = getRatePerMs(upstreamId);
+        if (ratePerMs === undefined) return 0;
+        available += countTokens(upstreamId, ratePerMs);
+        totalPerMs += ratePerMs;
+      }
+      return totalPerMs === 0
+        ? 0
+        : Math.max(0, tokens - available) / totalPerMs;
+    },
+  };
+}
--- a/packages/coordination/src/dispatch/work.ts
+++ b/packages/coordination/src/dispatch/work.ts
@@ -4,6 +4,7 @@
  * message carries the complete state instead of changes, because messages may
  * be lost.
  */
+import type * as rateLimits from "./rate_limits.ts";
 
 /** A request that waits for a slot. */
 export interface WaitingRequest {
@@ -52,6 +53,8 @@
   readonly waiting: readonly WaitingRequest[];
   readonly running: readonly RunningRequest[];
   readonly passes: readonly PassTime[];
+  /** Undefined if the entry's build does not know rate limits. */
+  readonly rateLimits?: rateLimits.RateLimitMessage;
 }
 
 export interface Grant {
@@ -63,14 +66,25 @@
 export interface Denial {
   readonly key: string;
   readonly retryAfterMs: number;
+  /**
+   * What the request would have waited for.
+   * @default "slots"
+   */
+  readonly cause?: DenialCause;
 }
 
+export type DenialCause =
+  | "slots"
+  /** Rate limits of all upstreams that the request may use. */
+  | "rate_limits";
+
 /** The hub's answer to the latest state of one entry. */
 export interface Decisions {
   /** Sequence number of the state that this answers. */
   readonly sequence: number;
   readonly grants: readonly Grant[];
   readonly denials: readonly Denial[];
+  readonly rateLimits?: rateLimits.RateLimitMessage;
 }
 
 /** A set of upstreams whose forward passes have equal duration. */
--- a/packages/coordination/src/dispatch/work_client.ts
+++ b/packages/coordination/src/dispatch/work_client.ts
@@ -2,10 +2,12 @@
  * Client of the hub at one entry: tracks the requests that wait for a slot or
  * occupy one, reports them to the hub and applies its decisions. While no hub
  * answers, the entry decides itself and uses an equal share of the slots, so
- * that all entries together do not exceed the number of slots.
+ * that all entries together do not exceed the number of slots. Upstreams with a
+ * rate limit are then left out: no share of a low limit is a whole request.
  */
 import type * as clock from "../clock.ts";
 import type * as random from "../random.ts";
+import * as rateLimits from "./rate_limits.ts";
 import type * as work from "./work.ts";
 
 export interface WorkClientOptions {
@@ -28,6 +30,8 @@
    * @default 1500
    */
   readonly maxWaitMs?: number;
+  /** Rate limits of the upstreams; by default, those that the hub reports. */
+  readonly rateLimits?: rateLimits.RateLimits;
 }
 
 /** Slot request; its times are durations left, not timestamps. */
@@ -44,6 +48,7 @@
     readonly kind: "denied";
     readonly key: string;
     readonly retryAfterMs: number;
+    readonly cause?: work.DenialCause;
     readonly by: "hub" | "share";
   };
 
@@ -64,6 +69,8 @@
   /** Decides on requests that no hub has answered in time. */
   tick(): readonly WorkEvent[];
   hasWaiting(): boolean;
+  /** Whether the hub has answered recently. */
+  hasHub(): boolean;
 }
 
 interface PendingRequest {
@@ -78,6 +85,8 @@
 const defaultMaxWaitMs = 1_500;
 /** Minimum retry delay after a refusal by this entry instead of the hub. */
 const minShareRetryMs = 300;
+/** Time without an answer of the hub that covers two lost idle states. */
+const hubSilenceMs = 600;
 /** Minimum number of gaps for a median. */
 const minGaps = 3;
 
@@ -90,7 +99,10 @@
   const running = new Map<string, work.RunningRequest>();
   /** Gaps between stream events that no state has reported yet, by pool. */
   const gapsByPool = new Map<string, number[]>();
+  const limits = options.rateLimits ?? rateLimits.createRateLimits({ clock });
   let upstreams: readonly work.UpstreamSpec[] = [];
+  /** Hash of the hub's rate limits in its last answer. */
+  let hubHash: number | undefined;
   let sequence = 0;
   let answeredAtMs = -Infinity;
 
@@ -114,7 +126,9 @@
   /** Chooses the upstream with the fewest running requests of this entry. */
   function chooseUpstream(request: SlotRequest): work.UpstreamSpec | undefined {
     const candidates = upstreams.filter((upstream) =>
-      upstream.pool === request.pool && !request.avoided.includes(upstream.id)
+      upstream.pool === request.pool &&
+      !request.avoided.includes(upstream.id) &&
+      limits.get(upstream.id) === undefined
     );
     let best: work.UpstreamSpec | undefined;
     let bestLoad = Infinity;
@@ -209,6 +223,7 @@
         sequence,
         running: [...running.values()],
         passes: takePassTimes(),
+        rateLimits: limits.buildMessage(hubHash),
         waiting: [...pending.values()].map(({ request, requestedAtMs }) => {
           const ageMs = Math.round(nowMs - requestedAtMs);
           return {
@@ -223,6 +238,10 @@
     receive(decisions) {
       const events: WorkEvent[] = [];
       answeredAtMs = clock.now();
+      hubHash = decisions.rateLimits?.hash;
+      if (decisions.rateLimits !== undefined) {
+        limits.merge(decisions.rateLimits);
+      }
       for (const waiting of pending.values()) {
         const { firstSequence = Infinity } = waiting;
         if (firstSequence <= decisions.sequence) waiting.isReceivedByHub = true;
@@ -231,9 +250,9 @@
         if (!pending.delete(key)) continue;
         events.push({ kind: "granted", key, upstreamId, by: "hub" });
       }
-      for (const { key, retryAfterMs } of decisions.denials) {
+      for (const { key, retryAfterMs, cause } of decisions.denials) {
         if (!pending.delete(key)) continue;
-        events.push({ kind: "denied", key, retryAfterMs, by: "hub" });
+        events.push({ kind: "denied", key, retryAfterMs, cause, by: "hub" });
       }
       return events;
     },
@@ -242,5 +261,6 @@
         decideWithoutHub(key, waiting) ?? []
       ),
     hasWaiting: () => pending.size > 0,
+    hasHub: () => clock.now() - answeredAtMs < hubSilenceMs,
   };
 }
--- a/packages/coordination/src/dispatch/work_client_test.ts
+++ b/packages/coordination/src/dispatch/work_client_test.ts
@@ -146,3 +146,24 @@
   expect(client.buildState().passes).toEqual([{ pool: "p", passMs: 50 }]);
   expect(client.buildState().passes).toEqual([]);
 });
+
+test("without a hub, requests no upstream with a rate limit", () => {
+  const { client, manual, requestSlot } = createSetup();
+  client.receive(createDecisions(0, {
+    rateLimits: {
+      hash: 1,
+      reports: [{ upstreamId: "u1", requestsPerSecond: 2, ageMs: 0 }],
+    },
+  }));
+  expect(client.hasHub()).toBe(true);
+  manual.advance(1_000);
+  expect(client.hasHub()).toBe(false);
+  requestSlot("k1");
+  requestSlot("k2", { avoided: ["u2"] });
+  manual.advance(100);
+  expect(client.tick()).toEqual([
+    { kind: "granted", key: "k1", upstreamId: "u2", by: "share" },
+  ]);
+  manual.advance(1_500);
+  expect(client.tick()).toMatchObject([{ kind: "denied", key: "k2" }]);
+});
--- a/packages/coordination/src/dispatch/work_hub.ts
+++ b/packages/coordination/src/dispatch/work_hub.ts
@@ -16,11 +16,16 @@
  *   slots of the workspace, then by age.
  * - A request is refused at once if its predicted wait exceeds a bound. The
  *   retry delay is the predicted wait plus jitter, so that retries are spread.
+ * - An upstream with a rate limit gets no more grants than the limit allows. The
+ *   requests that only such upstreams can serve wait or are refused by the sum of
+ *   their limits.
  *
  * Designed for bursts and retry storms of 1.5 to 5 times the capacity.
  */
 import type * as clock from "../clock.ts";
 import type * as random from "../random.ts";
+import * as rateBudget from "./rate_budget.ts";
+import * as rateLimits from "./rate_limits.ts";
 import type * as work from "./work.ts";
 
 export interface WorkHubOptions {
@@ -38,6 +43,8 @@
    * @default 1500
    */
   readonly stateTtlMs?: number;
+  /** Rate limits of the upstreams; by default, those that the states report. */
+  readonly rateLimits?: rateLimits.RateLimits;
 }
 
 export interface WorkHub {
@@ -67,6 +74,8 @@
   readonly freedPerSecond: number;
   /** Duration of the last reported pass, in milliseconds; 0 if none. */
   readonly passMs: number;
+  /** Number of upstreams with a rate limit. */
+  readonly rateLimited: number;
 }
 
 interface QueuedRequest extends work.WaitingRequest {
@@ -146,6 +155,8 @@
   const stateTtlMs = options.stateTtlMs ?? defaultStateTtlMs;
   const entries = new Map<string, EntryState>();
   const pools = new Map<string, PoolState>();
+  const limits = options.rateLimits ?? rateLimits.createRateLimits({ clock });
+  const budget = rateBudget.createRateBudget({ clock, limits });
   const upstreamById = new Map<string, work.UpstreamSpec>();
   /** Number of requests and prompt tokens at each upstream. */
   const usage = new Map<string, { requests: number; tokens: number }>();
@@ -253,7 +264,8 @@
     let bestWeight = Infinity;
     for (const upstream of pool.upstreams) {
       if (
-        countFreeSlots(upstream) <= 0 || request.avoided.includes(upstream.id)
+        countFreeSlots(upstream) <= 0 ||
+        request.avoided.includes(upstream.id) || !budget.hasToken(upstream.id)
       ) continue;
       const isSameDomain = upstream.failureDomain === domain;
       // Ties are resolved by the entry's failure domain, then at random.
@@ -318,6 +330,7 @@
       const entry = entries.get(request.entryId);
       if (entry === undefined) continue;
       remaining -= 1;
+      budget.take(upstream.id);
       entry.queued.delete(request.key);
       entry.pendingGrants.set(request.key, {
         grant: { key: request.key, upstreamId: upstream.id },
@@ -335,15 +348,28 @@
   /**
    * Refuses requests whose predicted wait is too long. The prediction uses the
    * rate at which slots become free. Requests still in the queue got no slot:
-   * the limit is reached, or the request avoids all upstreams with free slots.
+   * the limit is reached, or the request avoids all upstreams with free slots,
+   * or those that it does not avoid have reached their rate limits.
    */
   function refuseLongWaits(poolName: string, pool: PoolState): void {
     const queue = listQueue(poolName);
     const nowMs = clock.now();
+    const unlimited = pool.upstreams.filter(({ id }) => !budget.isLimited(id));
+    const isSlotFree = computeLimit(pool) - countUsedSlots(pool) >= 1;
+    let rateLimitedCount = 0;
     queue.forEach((request, index) => {
-      const predictedWaitMs = pool.freedPerSecond === 0
-        ? 0
-        : (index + 1) * millisecondsPerSecond / pool.freedPerSecond;
+      const isRateLimited = unlimited.every(({ id }) =>
+        request.avoided.includes(id)
+      );
+      if (isRateLimited) rateLimitedCount += 1;
+      const slotWaitMs =
+        pool.freedPerSecond === 0 || (isRateLimited && isSlotFree)
+          ? 0
+          : (index + 1) * millisecondsPerSecond / pool.freedPerSecond;
+      const rateWaitMs = isRateLimited
+        ? estimateRateWait(request, pool, rateLimitedCount)
+        : 0;
+      const predictedWaitMs = Math.max(slotWaitMs, rateWaitMs);
       const waitedMs = nowMs - request.arrivedAtMs;
       const isTooLong = waitedMs + predictedWaitMs > maxWaitMs ||
         nowMs + predictedWaitMs > request.abandonAtMs;
@@ -353,10 +379,24 @@
       entry?.denials.set(request.key, {
         key: request.key,
         retryAfterMs: computeRetryMs(predictedWaitMs),
+        cause: rateWaitMs > slotWaitMs ? "rate_limits" : "slots",
       });
+      // Its place in the order is free for the next request.
+      if (isRateLimited) rateLimitedCount -= 1;
     });
   }
 
+  /** Estimates the wait of the nth request that rate limits hold back. */
+  function estimateRateWait(
+    request: QueuedRequest,
+    pool: PoolState,
+    position: number,
+  ): number {
+    const ids = pool.upstreams.map(({ id }) => id)
+      .filter((id) => !request.avoided.includes(id));
+    return budget.estimateWaitMs(ids, position);
+  }
+
   function computeRetryMs(predictedWaitMs: number): number {
     const jitter = 1 + retryJitterShare * options.random();
     const delayMs = Math.max(minRetryMs, predictedWaitMs * jitter);
@@ -393,7 +433,13 @@
   function collectDecisions(entry: EntryState): work.Decisions {
     const denials = [...entry.denials.values()];
     const grants = [...entry.pendingGrants.values()].map(({ grant }) => grant);
-    return { sequence: entry.state.sequence, grants, denials };
+    const receiverHash = entry.state.rateLimits?.hash;
+    return {
+      sequence: entry.state.sequence,
+      grants,
+      denials,
+      rateLimits: limits.buildMessage(receiverHash),
+    };
   }
 
   /** Counts the slots that an entry has released since its last state. */
@@ -444,6 +490,7 @@
 
   return {
     setUpstreams(upstreams, specs = []) {
+      budget.retain(new Set(upstreams.map(({ id }) => id)));
       upstreamById.clear();
       const before = new Map(pools);
       pools.clear();
@@ -482,6 +529,7 @@
         entries.set(state.entryId, entry);
       }
       updateEntry(entry, state);
+      if (state.rateLimits !== undefined) limits.merge(state.rateLimits);
       state.passes.forEach(recordPass);
       return decideAll().set(state.entryId, collectDecisions(entry));
     },
@@ -495,6 +543,8 @@
         limit: computeLimit(pool),
         freedPerSecond: pool.freedPerSecond,
         passMs: Math.round(pool.lastPassMs),
+        rateLimited: pool.upstreams.filter(({ id }) => budget.isLimited(id))
+          .length,
       })),
   };
 }
