--- a/packages/anvilhinge/src/entry/choice/routed_policy.ts
+++ b/packages/anvilhinge/src/entry/choice/routed_policy.ts
@@ -273,8 +273,7 @@
     slots.setUpstreams(
       [...tracked.values()]
         .filter(({ listed }) =>
-          listed.state === "serving" &&
-          services.get(listed.service)?.engine !== undefined
+          listed.state === "serving" && services.has(listed.service)
         )
         .map(({ listed }) => ({
           id: listed.id,
@@ -303,19 +302,34 @@
     return best[Math.floor(options.random() * best.length)];
   }
 
-  /** Chooses an upstream of a service without engines. */
+  function isLimited({ listed }: TrackedUpstream): boolean {
+    return limits.get(listed.id) !== undefined;
+  }
+
+  /**
+   * Chooses an upstream of a service without engines. Returns undefined if only
+   * the hub can: the chosen upstream has a rate limit for all entries together.
+   */
   function chooseDirectly(
     service: string,
     attemptedIds: ReadonlySet<string>,
-  ): session.UpstreamChoice {
-    const chosen = chooseLeastLoaded(
-      listUsable(service).filter(({ listed }) => !attemptedIds.has(listed.id)),
+  ): session.UpstreamChoice | undefined {
+    const usable = listUsable(service).filter(({ listed }) =>
+      !attemptedIds.has(listed.id)
     );
-    if (chosen === undefined) {
+    const candidate = chooseLeastLoaded(usable);
+    if (candidate === undefined) {
       const reason = `No upstream of service ${service} is left`;
       return { kind: "none", reason, retryAfterMs: noUpstreamRetryMs };
     }
-    return { kind: "chosen", upstream: chosen.upstream };
+    if (!isLimited(candidate)) {
+      return { kind: "chosen", upstream: candidate.upstream };
+    }
+    if (slots.hasHub()) return undefined;
+    const unlimited = chooseLeastLoaded(
+      usable.filter((tracked) => !isLimited(tracked)),
+    );
+    return unlimited && { kind: "chosen", upstream: unlimited.upstream };
   }
 
   function startRequest(
@@ -398,10 +412,12 @@
     }
 
     return {
-      chooseUpstream: (attemptedIds) =>
-        engine === undefined
+      chooseUpstream(attemptedIds) {
+        const direct = engine === undefined
           ? chooseDirectly(request.service, attemptedIds)
-          : requestSlot(attemptedIds),
+          : undefined;
+        return direct ?? requestSlot(attemptedIds);
+      },
       withdrawSlotRequest,
       takeRetry() {
         const isTaken = budget.take();
