--- a/packages/anvilhinge/src/entry/choice/routed_policy.ts
+++ b/packages/anvilhinge/src/entry/choice/routed_policy.ts
@@ -3,6 +3,7 @@
  * of an upstream to each request and decides whether the retry budget permits
  * another attempt. A slot is a unit of an upstream's concurrency.
  */
+import type * as clockPort from "@anvilhinge/coordination/clock";
 import * as rateLimits from "@anvilhinge/coordination/dispatch/rate_limits";
 import type * as workHub from "@anvilhinge/coordination/dispatch/work_hub";
 import type * as work from "@anvilhinge/coordination/dispatch/work";
@@ -112,6 +113,8 @@
   readonly members: slotCoordinator.EntryMembership;
   readonly retries: RetryLimits;
   readonly scheduler: scheduler.Scheduler;
+  /** Includes the time for which the machine is suspended. */
+  readonly elapsed: clockPort.Clock;
   readonly random: random.RandomSource;
   readonly logger: logger.Logger;
   readonly metrics: Pick<
@@ -199,6 +202,7 @@
     failureDomain: options.failureDomain,
     members: options.members,
     scheduler: clock,
+    elapsed: options.elapsed,
     random: options.random,
     sockets: options.sockets,
     logger: options.logger,
--- a/packages/anvilhinge/src/entry/choice/routed_policy_test.ts
+++ b/packages/anvilhinge/src/entry/choice/routed_policy_test.ts
@@ -90,6 +90,7 @@
     },
     retries: { share: 0.2, extra: 20, windowMs: 10_000 },
     scheduler,
+    elapsed: scheduler,
     random: () => 0.5,
     logger: logger.createLogger({
       component: "entry",
--- a/packages/anvilhinge/src/entry/choice/slot_coordinator.ts
+++ b/packages/anvilhinge/src/entry/choice/slot_coordinator.ts
@@ -4,6 +4,7 @@
  * slots from the hub over datagrams, or acts as the hub itself. While no hub
  * answers, it uses its own share of the slots.
  */
+import type * as clock from "@anvilhinge/coordination/clock";
 import type * as random from "@anvilhinge/coordination/random";
 import type * as rateLimits from "@anvilhinge/coordination/dispatch/rate_limits";
 import type * as work from "@anvilhinge/coordination/dispatch/work";
@@ -25,6 +26,8 @@
   readonly failureDomain: string;
   readonly members: EntryMembership;
   readonly scheduler: scheduler.Scheduler;
+  /** Includes the time for which the machine is suspended. */
+  readonly elapsed: clock.Clock;
   readonly random: random.RandomSource;
   readonly sockets: datagrams.Datagrams;
   readonly logger: logger.Logger;
@@ -74,6 +77,7 @@
   const { scheduler, signal, members } = options;
   const client = workClient.createWorkClient({
     clock: scheduler,
+    elapsed: options.elapsed,
     random: options.random,
     entryId: options.entryId,
     failureDomain: options.failureDomain,
--- a/packages/anvilhinge/src/entry/routed_entry.ts
+++ b/packages/anvilhinge/src/entry/routed_entry.ts
@@ -194,6 +194,7 @@
       windowMs: settings.bounds.retryWindowMs,
     },
     scheduler: clock,
+    elapsed,
     random: options.random,
     logger: log,
     metrics: entryMetrics,
--- a/packages/coordination/src/dispatch/work.ts
+++ b/packages/coordination/src/dispatch/work.ts
@@ -57,6 +57,13 @@
   readonly rateLimits?: rateLimits.RateLimitMessage;
 }
 
+/**
+ * Time for which a grant is valid, in milliseconds. The hub counts it from the
+ * decision and then grants the slot again; the entry counts it from the state that
+ * the grant answers, which is earlier.
+ */
+export const grantTtlMs = 400;
+
 export interface Grant {
   readonly key: string;
   readonly upstreamId: string;
--- a/packages/coordination/src/dispatch/work_client.ts
+++ b/packages/coordination/src/dispatch/work_client.ts
@@ -8,10 +8,12 @@
 import type * as clock from "../clock.ts";
 import type * as random from "../random.ts";
 import * as rateLimits from "./rate_limits.ts";
-import type * as work from "./work.ts";
+import * as work from "./work.ts";
 
 export interface WorkClientOptions {
   readonly clock: clock.Clock;
+  /** Clock that includes time for which the machine was suspended. */
+  readonly elapsed: clock.Clock;
   readonly random: random.RandomSource;
   readonly entryId: string;
   readonly failureDomain: string;
@@ -89,6 +91,8 @@
 const hubSilenceMs = 600;
 /** Minimum number of gaps for a median. */
 const minGaps = 3;
+/** Number of states whose times are kept, to tell the age of a grant. */
+const maxRetainedStates = 64;
 
 /** Creates the client of one entry. */
 export function createWorkClient(options: WorkClientOptions): WorkClient {
@@ -103,6 +107,8 @@
   let upstreams: readonly work.UpstreamSpec[] = [];
   /** Hash of the hub's rate limits in its last answer. */
   let hubHash: number | undefined;
+  /** Build times of the latest states, by sequence. */
+  const builtAtMs = new Map<number, number>();
   let sequence = 0;
   let answeredAtMs = -Infinity;
 
@@ -176,6 +182,15 @@
     return { kind: "denied", key, retryAfterMs, by: "share" };
   }
 
+  /** Returns the grants, unless they have waited in a paused process. */
+  function listValidGrants(
+    { sequence, grants }: work.Decisions,
+  ): readonly work.Grant[] {
+    const builtMs = builtAtMs.get(sequence) ?? -Infinity;
+    const ageMs = options.elapsed.now() - builtMs;
+    return ageMs <= work.grantTtlMs ? grants : [];
+  }
+
   /** Returns the median gap of each pool with enough gaps, and clears them. */
   function takePassTimes(): readonly work.PassTime[] {
     const passes: work.PassTime[] = [];
@@ -216,6 +231,8 @@
     buildState() {
       sequence += 1;
       const nowMs = clock.now();
+      builtAtMs.set(sequence, options.elapsed.now());
+      builtAtMs.delete(sequence - maxRetainedStates);
       for (const item of pending.values()) item.firstSequence ??= sequence;
       return {
         entryId: options.entryId,
@@ -246,7 +263,7 @@
         const { firstSequence = Infinity } = waiting;
         if (firstSequence <= decisions.sequence) waiting.isReceivedByHub = true;
       }
-      for (const { key, upstreamId } of decisions.grants) {
+      for (const { key, upstreamId } of listValidGrants(decisions)) {
         if (!pending.delete(key)) continue;
         events.push({ kind: "granted", key, upstreamId, by: "hub" });
       }
--- a/packages/coordination/src/dispatch/work_hub.ts
+++ b/packages/coordination/src/dispatch/work_hub.ts
@@ -26,7 +26,7 @@
 import type * as random from "../random.ts";
 import * as rateBudget from "./rate_budget.ts";
 import * as rateLimits from "./rate_limits.ts";
-import type * as work from "./work.ts";
+import * as work from "./work.ts";
 
 export interface WorkHubOptions {
   readonly clock: clock.Clock;
@@ -122,8 +122,6 @@
 
 const defaultMaxWaitMs = 1_200;
 const defaultStateTtlMs = 1_500;
-/** Time after which an unacknowledged grant is assumed lost. */
-const grantTimeoutMs = 400;
 const rateUpdateIntervalMs = 500;
 /** Weight of a new value in the rate at which slots become free. */
 const rateWeight = 0.3;
@@ -462,7 +460,7 @@
       // The request runs, was abandoned, or the grant was lost.
       const isSettled = runningKeys.has(key) ||
         (state.sequence >= pending.firstSequence && !waitingKeys.has(key)) ||
-        nowMs - pending.grantedAtMs > grantTimeoutMs;
+        nowMs - pending.grantedAtMs > work.grantTtlMs;
       if (isSettled) entry.pendingGrants.delete(key);
     }
     for (const key of entry.denials.keys()) {
