--- a/packages/anvilhinge/src/entry/choice/slot_coordinator.ts
+++ b/packages/anvilhinge/src/entry/choice/slot_coordinator.ts
@@ -19,6 +19,8 @@
   getHub(): { readonly id: string; readonly address: string };
   isHub(): boolean;
   countEntries(): number;
+  /** Share of the entries that this entry can reach, from 0 to 1. */
+  computeReachableShare(): number;
 }
 
 export interface SlotCoordinatorOptions {
@@ -88,6 +90,7 @@
     clock: scheduler,
     random: options.random,
     rateLimits: options.rateLimits,
+    readReachableShare: members.computeReachableShare,
   });
   /** Addresses of the entries that sent their state to this hub, by id. */
   const addresses = new Map<string, string>();
@@ -95,6 +98,8 @@
   let loggedAtMs = -Infinity;
   let isReportScheduled = false;
   let stateSentAtMs = -Infinity;
+  /** Hub that the last state was sent to. */
+  let reportedHubId: string | undefined;
 
   function emit(events: readonly workClient.WorkEvent[]): void {
     for (const event of events) options.onEvent(event);
@@ -129,6 +134,7 @@
   function reportState(): void {
     isReportScheduled = false;
     stateSentAtMs = scheduler.now();
+    reportedHubId = members.getHub().id;
     const state = client.buildState();
     if (isActiveHub()) return deliver(hub.receive(state));
     if (members.isHub()) return;
@@ -159,7 +165,8 @@
     emit(client.tick());
     const isWaiting = client.hasWaiting();
     const intervalMs = isWaiting ? waitingIntervalMs : idleIntervalMs;
-    if (scheduler.now() - stateSentAtMs >= intervalMs) reportState();
+    const isDue = scheduler.now() - stateSentAtMs >= intervalMs;
+    if (isDue || members.getHub().id !== reportedHubId) reportState();
     if (isActiveHub()) deliver(hub.decide());
     scheduler.schedule(tick, { delayMs: waitingIntervalMs, signal });
   }
--- /dev/null
+++ b/packages/anvilhinge/src/entry/choice/slot_coordinator_test.ts
@@ -0,0 +1,308 @@
+import * as stream from "node:stream";
+import * as rateLimits from "@anvilhinge/coordination/dispatch/rate_limits";
+import type * as work from "@anvilhinge/coordination/dispatch/work";
+import * as random from "@anvilhinge/coordination/random";
+import * as logger from "../../telemetry/logger.ts";
+import * as manualScheduler from "../../testing/manual_scheduler.ts";
+import * as rosterNode from "../control/roster_node.ts";
+import * as slotCoordinator from "./slot_coordinator.ts";
+
+type Message = rosterNode.RosterMessage | slotCoordinator.DispatchMessage;
+
+const log = logger.createLogger({
+  component: "entry",
+  level: "error",
+  stream: new stream.PassThrough(),
+});
+const messageDelayMs = 1;
+const serviceMs = 50;
+const windowMs = 4_000;
+const requestsPerNodeAndSecond = 4;
+
+/** Requests that the users allow an upstream in a window of four seconds. */
+function computeAllowed(perSecond: number): number {
+  return 1.5 * perSecond * windowMs / 1_000 + 5;
+}
+
+interface SystemOptions {
+  readonly entryCount: number;
+  readonly seed: number;
+  /** Limits per second of the upstreams; undefined without a limit. */
+  readonly limits: readonly (number | undefined)[];
+}
+
+/** Entries with their rosters and slot coordinators on a simulated network. */
+function createSystem({ entryCount, seed, limits }: SystemOptions) {
+  const scheduler = manualScheduler.createManualScheduler();
+  const draw = random.createRandomSource(seed);
+  const upstreams: readonly work.UpstreamSpec[] = limits.map((_, index) => ({
+    id: `u${index}`,
+    pool: "p",
+    failureDomain: "a",
+    slots: 8,
+  }));
+  const startedMs = new Map(upstreams.map(({ id }) => [id, [] as number[]]));
+  const nodes = new Map<string, ReturnType<typeof startNode>>();
+  const pausedUntilMs = new Map<string, number>();
+  let isConnected = (_from: string, _to: string): boolean => true;
+  let lossShare = 0;
+  let refused = 0;
+
+  /** Runs a callback of a node, after its pause if it is paused. */
+  function runAt(id: string, signal: AbortSignal, callback: () => void): void {
+    if (signal.aborted) return;
+    const waitMs = (pausedUntilMs.get(id) ?? 0) - scheduler.now();
+    if (waitMs <= 0) return callback();
+    scheduler.schedule(() => runAt(id, signal, callback), {
+      delayMs: waitMs,
+      signal,
+    });
+  }
+
+  function startNode(index: number) {
+    const id = `e${index}`;
+    const address = `10.0.0.${index + 1}:1`;
+    const abort = new AbortController();
+    const { signal } = abort;
+    const ownScheduler = {
+      now: scheduler.now,
+      schedule: (
+        callback: () => void,
+        options: Parameters<typeof scheduler.schedule>[1],
+      ) =>
+        scheduler.schedule(() => runAt(id, signal, callback), {
+          ...options,
+          signal: options.signal ?? signal,
+        }),
+    };
+    const sockets = {
+      send(message: unknown, to: string) {
+        const target = `e${Number(to.split(/[.:]/)[3]) - 1}`;
+        if (!isConnected(id, target) || draw() < lossShare) return;
+        const copy = JSON.parse(JSON.stringify(message)) as Message;
+        scheduler.schedule(() => {
+          const node = nodes.get(target);
+          if (node === undefined) return;
+          runAt(target, node.abort.signal, () => node.handle(copy, address));
+        }, { delayMs: messageDelayMs });
+      },
+    };
+    const roster = rosterNode.startRosterNode({
+      self: {
+        id,
+        address,
+        incarnation: scheduler.now() + index / 1_000,
+        details: {
+          callers: "",
+          failureDomain: "a",
+          region: "r",
+          isReady: true,
+          isLeaving: false,
+        },
+      },
+      seeds: ["10.0.0.1:1", "10.0.0.2:1"],
+      scheduler: ownScheduler,
+      elapsed: scheduler,
+      readHubStatus: () => ({}) as never,
+      onHubStatus() {},
+      sockets,
+      logger: log,
+      signal,
+    });
+    const table = rateLimits.createRateLimits({
+      clock: scheduler,
+      onChange: () => coordinator.reportRateLimit(),
+    });
+    table.setUpstreams(new Set(upstreams.map((upstream) => upstream.id)));
+    const coordinator = slotCoordinator.startSlotCoordinator({
+      entryId: id,
+      failureDomain: "a",
+      members: {
+        getHub: roster.getHub,
+        isHub: roster.isHub,
+        countEntries: () => roster.listLive().length,
+        computeReachableShare: roster.computeReachableShare,
+      },
+      scheduler: ownScheduler,
+      elapsed: scheduler,
+      random: draw,
+      sockets,
+      logger: log,
+      rateLimits: table,
+      signal,
+      onEvent(event) {
+        if (event.kind === "denied") return void (refused += 1);
+        dispatch(event.key, event.upstreamId);
+      },
+    });
+    coordinator.setUpstreams(upstreams, []);
+
+    function dispatch(key: string, upstreamId: string): void {
+      const sentAtMs = scheduler.now();
+      startedMs.get(upstreamId)!.push(sentAtMs);
+      coordinator.recordStart({
+        key,
+        upstreamId,
+        workspace: "w",
+        promptTokens: 0,
+      });
+      const limit = limits[Number(upstreamId.slice(1))];
+      ownScheduler.schedule(() => {
+        coordinator.drop(key);
+        table.observe({
+          upstreamId,
+          sentAtMs,
+          notice: limit === undefined
+            ? { kind: "unlimited" }
+            : { kind: "limited", requestsPerSecond: limit },
+        });
+      }, { delayMs: serviceMs });
+    }
+
+    let sent = 0;
+    function requestSlot(): void {
+      sent += 1;
+      coordinator.requestSlot({
+        key: `${id}/${scheduler.now()}/${sent}`,
+        pool: "p",
+        priority: 1,
+        workspace: "w",
+        promptTokens: 0,
+        answerTokens: 0,
+        aimLeftMs: 300,
+        leftMs: 2_000,
+        avoided: [],
+      });
+      const intervalMs = 1_000 / requestsPerNodeAndSecond;
+      ownScheduler.schedule(requestSlot, { delayMs: intervalMs });
+    }
+    ownScheduler.schedule(requestSlot, { delayMs: 1_000 * draw() });
+
+    return {
+      abort,
+      table,
+      handle(message: Message, from: string) {
+        if (message.kind === "hello" || message.kind === "roster") {
+          return roster.handle(message);
+        }
+        coordinator.handle(message, from);
+      },
+    };
+  }
+
+  const start = (index: number) =>
+    void nodes.set(`e${index}`, startNode(index));
+  for (let index = 0; index < entryCount; index += 1) start(index);
+
+  return {
+    scheduler,
+    start,
+    kill(index: number) {
+      nodes.get(`e${index}`)?.abort.abort();
+      nodes.delete(`e${index}`);
+    },
+    pause(index: number, durationMs: number) {
+      pausedUntilMs.set(`e${index}`, scheduler.now() + durationMs);
+    },
+    setConnected(check: typeof isConnected) {
+      isConnected = check;
+    },
+    setLoss(share: number) {
+      lossShare = share;
+    },
+    listTables: () => [...nodes.values()].map(({ table }) => table),
+    countRefused: () => refused,
+    /** Largest number of requests at an upstream in a window from then on. */
+    countMostInWindow(index: number, fromMs: number) {
+      const times = startedMs.get(`u${index}`)!
+        .filter((atMs) => atMs >= fromMs);
+      return Math.max(
+        0,
+        ...times.map((startMs) =>
+          times.filter((atMs) => atMs >= startMs && atMs < startMs + windowMs)
+            .length
+        ),
+      );
+    },
+    countAll: (index: number) => startedMs.get(`u${index}`)!.length,
+  };
+}
+
+type System = ReturnType<typeof createSystem>;
+const faults: readonly [string, (system: System) => void][] = [
+  ["nothing fails", () => {}],
+  ["the hub crashes", (system) => system.kill(0)],
+  ["two hubs crash one after the other", (system) => {
+    system.kill(0);
+    system.scheduler.advance(1_500);
+    system.kill(1);
+  }],
+  ["the hub pauses", (system) => system.pause(0, 3_000)],
+  ["another entry pauses", (system) => system.pause(4, 4_000)],
+  ["the entries are divided into halves", (system) => {
+    const isLow = (id: string) => Number(id.slice(1)) < 6;
+    system.setConnected((from, to) => isLow(from) === isLow(to));
+    system.scheduler.advance(8_000);
+    system.setConnected(() => true);
+  }],
+  ["the hub is cut off", (system) => {
+    system.setConnected((from, to) => from !== "e0" && to !== "e0");
+    system.scheduler.advance(8_000);
+    system.setConnected(() => true);
+  }],
+  ["a third of the messages is lost", (system) => {
+    system.setLoss(0.33);
+    system.scheduler.advance(8_000);
+    system.setLoss(0);
+  }],
+  ["the entries restart in turn", (system) => {
+    for (let index = 0; index < 6; index += 1) {
+      system.kill(index);
+      system.scheduler.advance(700);
+      system.start(index);
+      system.scheduler.advance(700);
+    }
+  }],
+];
+
+describe.each(faults)("when %s", (_, fail) => {
+  test.each([1, 2, 3])(
+    "no upstream gets more than its rate limit (seed %d)",
+    (seed) => {
+      const limits = [1.8, 3.7, undefined];
+      const system = createSystem({ entryCount: 13, seed, limits });
+      system.scheduler.advance(4_000);
+      const sinceMs = system.scheduler.now();
+      fail(system);
+      system.scheduler.advance(6_000);
+      for (const index of [0, 1]) {
+        expect(system.countMostInWindow(index, sinceMs)).toBeLessThanOrEqual(
+          computeAllowed(limits[index]!),
+        );
+      }
+      for (const table of system.listTables()) {
+        expect(table.list()).toHaveLength(2);
+      }
+    },
+  );
+});
+
+test("with limits at all upstreams, what they allow is served", () => {
+  const system = createSystem({ entryCount: 13, seed: 1, limits: [2, 3, 4] });
+  system.scheduler.advance(14_000);
+  [2, 3, 4].forEach((perSecond, index) => {
+    expect(system.countAll(index)).toBeGreaterThan(0.8 * perSecond * 13);
+    expect(system.countMostInWindow(index, 4_000)).toBeLessThanOrEqual(
+      computeAllowed(perSecond),
+    );
+  });
+  expect(system.countRefused()).toBeGreaterThan(0);
+});
+
+test("an entry that joins learns the limits before it sends a request", () => {
+  const system = createSystem({ entryCount: 5, seed: 1, limits: [1, 1] });
+  system.scheduler.advance(4_000);
+  system.start(5);
+  system.scheduler.advance(100);
+  expect(system.listTables()[5]!.list()).toHaveLength(2);
+});
--- a/packages/anvilhinge/src/entry/control/roster_node.ts
+++ b/packages/anvilhinge/src/entry/control/roster_node.ts
@@ -52,10 +52,21 @@
   /** Adds addresses of entries that were added to the settings. */
   addSeeds(addresses: readonly string[]): void;
   listLive(): readonly EntryMember[];
+  /**
+   * Share of the entries that this entry can reach, of those that were live
+   * lately and did not announce that they leave.
+   */
+  computeReachableShare(): number;
   getHub(): EntryMember;
   isHub(): boolean;
 }
 
+/**
+ * Time for which an entry that can't be reached counts as alive, as another part of
+ * a divided network may still contain it.
+ */
+const unreachableTtlMs = 30_000;
+
 /** Starts the roster; it sends its first messages at the first tick. */
 export function startRosterNode(options: RosterNodeOptions): RosterNode {
   const { scheduler, signal, logger } = options;
@@ -110,6 +121,12 @@
     },
     addSeeds: machine.addSeeds,
     listLive: machine.listLive,
+    computeReachableShare() {
+      const liveIds = new Set(machine.listLive().map(({ id }) => id));
+      const expected = machine.listRecent(unreachableTtlMs)
+        .filter(({ id, details }) => liveIds.has(id) || !details.isLeaving);
+      return liveIds.size / expected.length;
+    },
     getHub: machine.getHub,
     isHub: machine.isHub,
   };
--- a/packages/anvilhinge/src/entry/routed_entry.ts
+++ b/packages/anvilhinge/src/entry/routed_entry.ts
@@ -187,6 +187,7 @@
       getHub: roster.getHub,
       isHub: roster.isHub,
       countEntries: () => roster.listLive().length,
+      computeReachableShare: roster.computeReachableShare,
     },
     retries: {
       share: settings.bounds.retryShare,
--- a/packages/coordination/src/dispatch/rate_budget.ts
+++ b/packages/coordination/src/dispatch/rate_budget.ts
@@ -2,7 +2,8 @@
  * Token buckets of the hub for upstreams with a rate limit: in any time `t` the
  * requests granted at an upstream are at most `limit x t` plus one burst. Only one
  * entry grants, so the sum over all entries keeps the limit, however many entries
- * there are and however small the limit is.
+ * there are and however small the limit is. In a divided network each part has a
+ * hub, which grants the part of the limit for the entries that it can reach.
  */
 import type * as clock from "../clock.ts";
 import type * as rateLimits from "./rate_limits.ts";
@@ -10,6 +11,8 @@
 export interface RateBudgetOptions {
   readonly clock: clock.Clock;
   readonly limits: Pick<rateLimits.RateLimits, "get" | "getStart">;
+  /** Returns the part of each limit that may be granted here, from 0 to 1. */
+  readonly readShare?: () => number;
 }
 
 export interface RateBudget {
@@ -41,14 +44,15 @@
 
 /** Creates the budget; a bucket begins empty when its limit begins. */
 export function createRateBudget(
-  { clock, limits }: RateBudgetOptions,
+  { clock, limits, readShare = () => 1 }: RateBudgetOptions,
 ): RateBudget {
   const buckets = new Map<string, Bucket>();
 
   function getRatePerMs(upstreamId: string): number | undefined {
     const requestsPerSecond = limits.get(upstreamId);
     if (requestsPerSecond === undefined) return undefined;
-    return Math.max(minRatePerMs, requestsPerSecond / millisecondsPerSecond);
+    const ratePerMs = requestsPerSecond / millisecondsPerSecond;
+    return readShare() * Math.max(minRatePerMs, ratePerMs);
   }
 
   function countTokens(upstreamId: string, ratePerMs: number): number {
--- a/packages/coordination/src/dispatch/work_hub.ts
+++ b/packages/coordination/src/dispatch/work_hub.ts
@@ -45,6 +45,11 @@
   readonly stateTtlMs?: number;
   /** Rate limits of the upstreams; by default, those that the states report. */
   readonly rateLimits?: rateLimits.RateLimits;
+  /**
+   * Returns the share of the entries that this hub can reach, from 0 to 1.
+   * @default () => 1
+   */
+  readonly readReachableShare?: () => number;
 }
 
 export interface WorkHub {
@@ -154,7 +159,13 @@
   const entries = new Map<string, EntryState>();
   const pools = new Map<string, PoolState>();
   const limits = options.rateLimits ?? rateLimits.createRateLimits({ clock });
-  const budget = rateBudget.createRateBudget({ clock, limits });
+  const budget = rateBudget.createRateBudget({
+    clock,
+    limits,
+    readShare: () => (reachableShare ??= options.readReachableShare?.() ?? 1),
+  });
+  /** Undefined until it is read for the current decision. */
+  let reachableShare: number | undefined;
   const upstreamById = new Map<string, work.UpstreamSpec>();
   /** Number of requests and prompt tokens at each upstream. */
   const usage = new Map<string, { requests: number; tokens: number }>();
@@ -412,6 +423,7 @@
     const before = new Map(
       [...entries].map(([id, entry]) => [id, new Set(listDecidedKeys(entry))]),
     );
+    reachableShare = undefined;
     removeExpiredEntries();
     updateUsage();
     for (const [name, pool] of pools) {
--- a/packages/coordination/src/roster.ts
+++ b/packages/coordination/src/roster.ts
@@ -96,6 +96,8 @@
   addSeeds(addresses: readonly string[]): void;
   /** Members that are live, including this member. */
   listLive(): readonly MemberInfo<Details>[];
+  /** Members that were live within a time, including this member. */
+  listRecent(withinMs: number): readonly MemberInfo<Details>[];
   /** The live member with the earliest start. */
   getHub(): MemberInfo<Details>;
   isHub(): boolean;
@@ -152,13 +154,17 @@
   let tickCount = 0;
   let seedIndex = 0;
 
-  function listLiveOthers(): readonly OtherMember<Details>[] {
-    const oldestMs = clock.now() - memberTimeoutMs;
+  function listOthers(withinMs: number): readonly OtherMember<Details>[] {
+    const oldestMs = clock.now() - withinMs;
     return [...otherMembers.values()].filter(({ lastSeenAtMs }) =>
       lastSeenAtMs >= oldestMs
     );
   }
 
+  function listLiveOthers(): readonly OtherMember<Details>[] {
+    return listOthers(memberTimeoutMs);
+  }
+
   function listLive(): readonly MemberInfo<Details>[] {
     return [self, ...listLiveOthers().map(({ info }) => info)].sort(compareAge);
   }
@@ -317,6 +323,10 @@
       for (const address of addresses) seeds.add(address);
     },
     listLive,
+    listRecent: (withinMs) => [
+      self,
+      ...listOthers(withinMs).map(({ info }) => info),
+    ],
     getHub,
     isHub: () => getHub().id === self.id,
   };
