--- a/packages/coordination/src/roster.ts
+++ b/packages/coordination/src/roster.ts
@@ -7,6 +7,9 @@
  * hub yields as soon as a message lists the older hub. Deterministic state
  * machine: it handles messages and ticks and returns messages to send.
  *
+ * The others know each other only through the hub. They lose each other with the
+ * hub and find each other again through the seeds and the members that they lost.
+ *
  * The hub also distributes its status (`news` in the messages), such as the age
  * of its view. A message may have been delayed anywhere, so it echoes the token
  * of the last hello from the receiver: the status was sampled after that hello
@@ -109,8 +112,15 @@
 const defaultMemberTimeoutMs = 800;
 /** Number of hellos whose send times are kept. */
 const maxRetainedTokens = 64;
-/** Ticks between two hellos to a seed, which may report an older hub. */
+/**
+ * Ticks between two hellos to a seed and to a lost member, which may report an
+ * older hub.
+ */
 const seedIntervalTicks = 5;
+/** Number of lost members that a member without any other contacts in a tick. */
+const lostPerTick = 3;
+/** Time for which a member that is not live is contacted again. */
+const lostMemberTtlMs = 600_000;
 
 /** A member other than the roster's own, as this roster has recorded it. */
 interface OtherMember<Details> {
@@ -153,6 +163,7 @@
   let token = 0;
   let tickCount = 0;
   let seedIndex = 0;
+  let lostIndex = 0;
 
   function listOthers(withinMs: number): readonly OtherMember<Details>[] {
     const oldestMs = clock.now() - withinMs;
@@ -238,15 +249,30 @@
     }));
   }
 
-  function sendToSeeds(): Sends {
+  /** Returns the next members that are not live any more, the oldest first. */
+  function takeLost(count: number): readonly string[] {
+    const liveIds = new Set(listLive().map(({ id }) => id));
+    const lost = listOthers(lostMemberTtlMs).map(({ info }) => info)
+      .filter(({ id }) => !liveIds.has(id))
+      .sort(compareAge);
+    const taken = Array.from(
+      { length: Math.min(count, lost.length) },
+      (_, offset) => lost[(lostIndex + offset) % lost.length]!.address,
+    );
+    lostIndex = (lostIndex + taken.length) % Math.max(1, lost.length);
+    return taken;
+  }
+
+  /** Sends hellos to members that may not know this one. */
+  function sendToUnknowing(): Sends {
     const others = [...seeds].filter((address) => address !== self.address);
     const isAlone = listLive().length === 1;
-    if (isAlone) {
-      return others.map((to) => ({ to, message: createHello() }));
-    }
-    if (others.length === 0 || tickCount % seedIntervalTicks !== 0) return [];
-    seedIndex = (seedIndex + 1) % others.length;
-    return [{ to: others[seedIndex]!, message: createHello() }];
+    if (!isAlone && tickCount % seedIntervalTicks !== 0) return [];
+    seedIndex = (seedIndex + 1) % Math.max(1, others.length);
+    const addresses = isAlone
+      ? [...others, ...takeLost(lostPerTick)]
+      : [...others.slice(seedIndex, seedIndex + 1), ...takeLost(1)];
+    return addresses.map((to) => ({ to, message: createHello() }));
   }
 
   /** Reports this member to the hub; the hub sends the roster to all. */
@@ -311,7 +337,7 @@
   return {
     tick() {
       tickCount += 1;
-      return [...publish(), ...sendToSeeds()];
+      return [...publish(), ...sendToUnknowing()];
     },
     handle: (message) =>
       message.kind === "hello" ? handleHello(message) : handleRoster(message),
--- a/packages/coordination/src/roster_test.ts
+++ b/packages/coordination/src/roster_test.ts
@@ -143,6 +143,28 @@
   expect(listHubs(cluster)).toEqual(["n0"]);
 });
 
+test("members find each other again when the hub and all seeds are gone", () => {
+  const cluster = createCluster(13);
+  cluster.run(1_000);
+  const isDown = (id: string) => ["n0", "n3", "n4", "n5"].includes(id);
+  cluster.run(6_000, { isDown });
+  expect(listHubs(cluster, isDown)).toEqual(["n1"]);
+  for (const { id, roster: memberRoster } of cluster.nodes) {
+    if (!isDown(id)) expect(memberRoster.listLive()).toHaveLength(9);
+  }
+});
+
+test("the parts of a partition merge again when all seeds are gone", () => {
+  const cluster = createCluster(13);
+  cluster.run(1_000);
+  const isDown = (id: string) => ["n3", "n4", "n5"].includes(id);
+  const isLow = (id: string) => Number(id.slice(1)) < 7;
+  const isCut = (from: string, to: string) => isLow(from) !== isLow(to);
+  cluster.run(5_000, { isDown, isCut });
+  cluster.run(10_000, { isDown });
+  expect(listHubs(cluster, isDown)).toEqual(["n0"]);
+});
+
 test("all members keep one hub when a tenth of the messages is lost", () => {
   const cluster = createCluster(21);
   cluster.run(2_000, { loss: 0.1 });
