--- a/packages/anvilhinge/src/entry/choice/slot_coordinator.ts
+++ b/packages/anvilhinge/src/entry/choice/slot_coordinator.ts
@@ -114,7 +114,10 @@
       hubSinceMs = undefined;
       return false;
     }
-    hubSinceMs ??= scheduler.now();
+    if (hubSinceMs === undefined) {
+      hubSinceMs = scheduler.now();
+      hub.takeOver();
+    }
     const hasWarmedUp = scheduler.now() - hubSinceMs >= hubWarmUpMs;
     return hasWarmedUp || members.countEntries() === 1;
   }
--- a/packages/anvilhinge/src/entry/choice/slot_coordinator_test.ts
+++ b/packages/anvilhinge/src/entry/choice/slot_coordinator_test.ts
@@ -287,6 +287,68 @@
   );
 });
 
+/** Faults that overlap: crashes, pauses, divisions, loss and restarts. */
+function injectFault(
+  system: System,
+  { entryCount, draw, killed }: {
+    readonly entryCount: number;
+    readonly draw: random.RandomSource;
+    readonly killed: Set<number>;
+  },
+): void {
+  const index = Math.floor(draw() * entryCount);
+  const restart = () => {
+    for (const killedIndex of killed) system.start(killedIndex);
+    killed.clear();
+  };
+  const faultsByKind = [
+    () => {
+      system.kill(index);
+      killed.add(index);
+    },
+    () => system.pause(index, 500 + draw() * 4_000),
+    () => {
+      const isLow = (id: string) => Number(id.slice(1)) < index;
+      system.setConnected((from, to) => isLow(from) === isLow(to));
+    },
+    () => system.setConnected(() => true),
+    () => system.setLoss(draw() * 0.3),
+    restart,
+  ];
+  faultsByKind[Math.floor(draw() * faultsByKind.length)]!();
+}
+
+describe("when faults overlap", () => {
+  test.each([1, 2, 3, 20, 29, 53])(
+    "no upstream gets more than its rate limit (seed %d)",
+    (seed) => {
+      const limits = [1.8, 3.7, undefined];
+      const entryCount = [5, 13, 21][seed % 3]!;
+      const system = createSystem({ entryCount, seed, limits });
+      const draw = random.createRandomSource(seed * 7_919);
+      const killed = new Set<number>();
+      system.scheduler.advance(4_000);
+      const sinceMs = system.scheduler.now();
+      for (let step = 0; step < 12; step += 1) {
+        injectFault(system, { entryCount, draw, killed });
+        system.scheduler.advance(200 + draw() * 1_500);
+      }
+      system.setConnected(() => true);
+      system.setLoss(0);
+      for (const index of killed) system.start(index);
+      system.scheduler.advance(12_000);
+      for (const index of [0, 1]) {
+        expect(system.countMostInWindow(index, sinceMs)).toBeLessThanOrEqual(
+          computeAllowed(limits[index]!),
+        );
+      }
+      for (const table of system.listTables()) {
+        expect(table.list()).toHaveLength(2);
+      }
+    },
+  );
+});
+
 test("with limits at all upstreams, what they allow is served", () => {
   const system = createSystem({ entryCount: 13, seed: 1, limits: [2, 3, 4] });
   system.scheduler.advance(14_000);
--- a/packages/coordination/src/dispatch/rate_budget.ts
+++ b/packages/coordination/src/dispatch/rate_budget.ts
@@ -21,6 +21,8 @@
   hasToken(upstreamId: string): boolean;
   /** Records that a request was granted. */
   take(upstreamId: string): void;
+  /** Empties all buckets: another hub may just have used the limits. */
+  reset(): void;
   /** Drops the buckets of all other upstreams. */
   retain(upstreamIds: { has(upstreamId: string): boolean }): void;
   /** Estimates the wait for a number of tokens of limited upstreams. */
@@ -42,11 +44,15 @@
 const millisecondsPerSecond = 1_000;
 const minRatePerMs = 1 / probeIntervalMs;
 
-/** Creates the budget; a bucket begins empty when its limit begins. */
+/**
+ * Creates the budget; a bucket begins empty when its limit begins and after each
+ * reset.
+ */
 export function createRateBudget(
   { clock, limits, readShare = () => 1 }: RateBudgetOptions,
 ): RateBudget {
   const buckets = new Map<string, Bucket>();
+  let resetAtMs = -Infinity;
 
   function getRatePerMs(upstreamId: string): number | undefined {
     const requestsPerSecond = limits.get(upstreamId);
@@ -56,7 +62,8 @@
   }
 
   function countTokens(upstreamId: string, ratePerMs: number): number {
-    const startedAtMs = limits.getStart(upstreamId) ?? clock.now();
+    const limitedSinceMs = limits.getStart(upstreamId) ?? clock.now();
+    const startedAtMs = Math.max(limitedSinceMs, resetAtMs);
     const known = buckets.get(upstreamId);
     // A bucket of an earlier limit is replaced.
     const bucket = known !== undefined && known.updatedAtMs >= startedAtMs
@@ -82,6 +89,10 @@
       const tokens = countTokens(upstreamId, ratePerMs) - 1;
       buckets.set(upstreamId, { tokens, updatedAtMs: clock.now() });
     },
+    reset() {
+      buckets.clear();
+      resetAtMs = clock.now();
+    },
     retain(upstreamIds) {
       for (const id of buckets.keys()) {
         if (!upstreamIds.has(id)) buckets.delete(id);
--- a/packages/coordination/src/dispatch/work_hub.ts
+++ b/packages/coordination/src/dispatch/work_hub.ts
@@ -62,6 +62,8 @@
    * other entry with a new grant or refusal, by entry id.
    */
   receive(state: work.WorkState): ReadonlyMap<string, work.Decisions>;
+  /** Records that this hub takes over from another. */
+  takeOver(): void;
   /** Decides again, for example after slots were added. */
   decide(): ReadonlyMap<string, work.Decisions>;
   /** Returns the waiting requests and used slots of each pool. */
@@ -543,6 +545,7 @@
       state.passes.forEach(recordPass);
       return decideAll().set(state.entryId, collectDecisions(entry));
     },
+    takeOver: budget.reset,
     decide: decideAll,
     describe: () =>
       [...pools].map(([name, pool]) => ({
