--- a/packages/coordination/src/roster.ts
+++ b/packages/coordination/src/roster.ts
@@ -7,8 +7,9 @@
  * hub yields as soon as a message lists the older hub. Deterministic state
  * machine: it handles messages and ticks and returns messages to send.
  *
- * The others know each other only through the hub. They lose each other with the
- * hub and find each other again through the seeds and the members that they lost.
+ * The others know each other only through the hub, whose list of members replaces
+ * theirs. They keep each other while the next hub takes over. Members that lost all
+ * others find them again through the seeds and the members that they lost.
  *
  * The hub also distributes its status (`news` in the messages), such as the age
  * of its view. A message may have been delayed anywhere, so it echoes the token
@@ -110,6 +111,11 @@
 export const tickMs = 200;
 
 const defaultMemberTimeoutMs = 800;
+/**
+ * Additional time for which a member stays live that only the hub hears of: two
+ * ticks in which the next hub takes over from one that is lost.
+ */
+const relayedGraceMs = 2 * tickMs;
 /** Number of hellos whose send times are kept. */
 const maxRetainedTokens = 64;
 /**
@@ -126,6 +132,7 @@
 interface OtherMember<Details> {
   readonly info: MemberInfo<Details>;
   readonly lastSeenAtMs: number;
+  readonly liveUntilMs: number;
   /** Hash in its last hello; undefined before its first hello. */
   readonly hash?: number;
   readonly token?: number;
@@ -172,8 +179,12 @@
     );
   }
 
+  function isLive({ liveUntilMs }: OtherMember<Details>): boolean {
+    return clock.now() <= liveUntilMs;
+  }
+
   function listLiveOthers(): readonly OtherMember<Details>[] {
-    return listOthers(memberTimeoutMs);
+    return [...otherMembers.values()].filter(isLive);
   }
 
   function listLive(): readonly MemberInfo<Details>[] {
@@ -187,7 +198,7 @@
   function recordMember(
     info: MemberInfo<Details>,
     heardAgoMs: number,
-    hello: Pick<OtherMember<Details>, "hash" | "token"> = {},
+    report: Pick<OtherMember<Details>, "hash" | "token"> = {},
   ): void {
     if (info.id === self.id) return;
     const lastSeenAtMs = clock.now() - heardAgoMs;
@@ -195,15 +206,15 @@
     const isOlder = previous !== undefined &&
       compareVersions(previous.info, info) > 0;
     if (isOlder) return;
-    const isUnchanged = previous !== undefined &&
-      compareVersions(previous.info, info) === 0;
+    const isSameIncarnation = previous?.info.incarnation === info.incarnation;
+    const seenBeforeMs = isSameIncarnation ? previous.lastSeenAtMs : -Infinity;
+    const liveBeforeMs = isSameIncarnation ? previous.liveUntilMs : -Infinity;
     otherMembers.set(info.id, {
-      ...(previous?.info.incarnation === info.incarnation ? previous : {}),
-      ...hello,
+      ...(isSameIncarnation ? previous : {}),
+      ...report,
       info,
-      lastSeenAtMs: isUnchanged
-        ? Math.max(previous.lastSeenAtMs, lastSeenAtMs)
-        : lastSeenAtMs,
+      lastSeenAtMs: Math.max(seenBeforeMs, lastSeenAtMs),
+      liveUntilMs: Math.max(liveBeforeMs, lastSeenAtMs + memberTimeoutMs),
     });
   }
 
@@ -300,16 +311,28 @@
   }
 
   /**
-   * Renews all live members after a roster that confirmed them by their hash.
-   * Such a roster has no last-seen times: the members are assumed to have been
-   * seen half a timeout ago.
+   * Replaces the live members by those that the hub lists, or confirms by their
+   * hash. They stay live for longer than the hub itself without a message.
    */
-  function renewMembers(): void {
-    const assumedSeenAtMs = clock.now() - memberTimeoutMs / 2;
+  function applyHubMembers(
+    { from, members }: Extract<Message, { readonly kind: "roster" }>,
+  ): void {
+    const nowMs = clock.now();
+    const listedIds = new Set(members?.map(({ info }) => info.id));
+    const relayedUntilMs = nowMs + memberTimeoutMs + relayedGraceMs;
+    // The hub heard of each within the timeout, but not necessarily just now.
+    const assumedSeenAtMs = nowMs - memberTimeoutMs / 2;
     for (const [id, member] of otherMembers) {
-      if (clock.now() - member.lastSeenAtMs > memberTimeoutMs) continue;
-      const latestMs = Math.max(member.lastSeenAtMs, assumedSeenAtMs);
-      otherMembers.set(id, { ...member, lastSeenAtMs: latestMs });
+      if (id === from.id || !isLive(member)) continue;
+      if (members !== undefined && !listedIds.has(id)) {
+        otherMembers.set(id, { ...member, liveUntilMs: nowMs - 1 });
+        continue;
+      }
+      otherMembers.set(id, {
+        ...member,
+        lastSeenAtMs: Math.max(member.lastSeenAtMs, assumedSeenAtMs),
+        liveUntilMs: relayedUntilMs,
+      });
     }
   }
 
@@ -318,11 +341,11 @@
   ): Sends {
     const previousHub = getHub().id;
     recordMember(message.from, 0);
-    if (message.members === undefined) renewMembers();
     for (const { info, heardAgoMs } of message.members ?? []) {
       recordMember(info, heardAgoMs);
     }
     const hub = getHub();
+    if (hub.id === message.from.id) applyHubMembers(message);
     const helloAtMs = helloSentAtMs.get(message.echo ?? 0);
     if (
       hub.id === message.from.id && helloAtMs !== undefined &&
--- a/packages/coordination/src/roster_test.ts
+++ b/packages/coordination/src/roster_test.ts
@@ -116,6 +116,33 @@
   expect(listHubs(cluster)).toEqual(["n0"]);
 });
 
+test("members keep each other while the hub is replaced", () => {
+  const cluster = createCluster(13);
+  cluster.run(1_000);
+  const isDown = (id: string) => id === "n0";
+  for (let elapsedMs = 0; elapsedMs < 4_000; elapsedMs += roster.tickMs) {
+    cluster.run(roster.tickMs, { isDown });
+    for (const { id, roster: memberRoster } of cluster.nodes) {
+      if (isDown(id)) continue;
+      const up = memberRoster.listLive().filter(({ id }) => !isDown(id));
+      expect(up).toHaveLength(12);
+    }
+  }
+});
+
+test("a member that is down stays recent for a time, the live ones always", () => {
+  const cluster = createCluster(13);
+  cluster.run(40_000);
+  const { roster: memberRoster } = cluster.nodes[7]!;
+  expect(memberRoster.listRecent(30_000)).toHaveLength(13);
+  const isDown = (id: string) => id === "n2";
+  cluster.run(10_000, { isDown });
+  expect(memberRoster.listLive()).toHaveLength(12);
+  expect(memberRoster.listRecent(30_000)).toHaveLength(13);
+  cluster.run(25_000, { isDown });
+  expect(memberRoster.listRecent(30_000)).toHaveLength(12);
+});
+
 test("all members drop a member that is down, despite relayed records", () => {
   const cluster = createCluster(13);
   cluster.run(1_000);
