--- a/packages/coordination/src/dispatch/rate_budget.ts
+++ b/packages/coordination/src/dispatch/rate_budget.ts
@@ -25,8 +25,15 @@
   reset(): void;
   /** Drops the buckets of all other upstreams. */
   retain(upstreamIds: { has(upstreamId: string): boolean }): void;
-  /** Estimates the wait for a number of tokens of limited upstreams. */
-  estimateWaitMs(upstreamIds: readonly string[], tokens: number): number;
+  /** Sums the tokens and rates of the limited ones among the upstreams. */
+  sum(upstreamIds: readonly string[]): TokenSum;
+}
+
+export interface TokenSum {
+  /** Tokens that can be taken now, with fractions. */
+  readonly tokens: number;
+  /** Tokens that are added in a millisecond. */
+  readonly ratePerMs: number;
 }
 
 interface Bucket {
@@ -98,18 +105,16 @@
         if (!upstreamIds.has(id)) buckets.delete(id);
       }
     },
-    estimateWaitMs(upstreamIds, tokens) {
-      let available = 0;
+    sum(upstreamIds) {
+      let tokens = 0;
       let totalPerMs = 0;
       for (const upstreamId of upstreamIds) {
         const ratePerMs = getRatePerMs(upstreamId);
-        if (ratePerMs === undefined) return 0;
-        available += countTokens(upstreamId, ratePerMs);
+        if (ratePerMs === undefined) continue;
+        tokens += countTokens(upstreamId, ratePerMs);
         totalPerMs += ratePerMs;
       }
-      return totalPerMs === 0
-        ? 0
-        : Math.max(0, tokens - available) / totalPerMs;
+      return { tokens, ratePerMs: totalPerMs };
     },
   };
 }
--- a/packages/coordination/src/dispatch/rate_limits.ts
+++ b/packages/coordination/src/dispatch/rate_limits.ts
@@ -88,6 +88,8 @@
  * kept: its record may have lapsed while it lives.
  */
 const unlistedRetentionMs = 60_000;
+/** Interval between two searches for records to drop. */
+const expiryIntervalMs = 1_000;
 /** Maximum numbers of the latest and of older changes in one message. */
 const maxLatestReports = 64;
 const maxOlderReports = 64;
@@ -101,6 +103,7 @@
   /** Hash of the limits in force; undefined after a change. */
   let cachedHash: number | undefined;
   let nextReport = 0;
+  let expiredAtMs = -Infinity;
 
   function isExpired(
     upstreamId: string,
@@ -134,6 +137,8 @@
   }
 
   function removeExpired(): void {
+    if (clock.now() - expiredAtMs < expiryIntervalMs) return;
+    expiredAtMs = clock.now();
     for (const [upstreamId, record] of records) {
       if (!isExpired(upstreamId, record)) continue;
       records.delete(upstreamId);
--- a/packages/coordination/src/dispatch/work_hub.ts
+++ b/packages/coordination/src/dispatch/work_hub.ts
@@ -268,12 +268,12 @@
 
   function chooseUpstream(
     request: QueuedRequest,
-    pool: PoolState,
+    upstreams: readonly work.UpstreamSpec[],
   ): work.UpstreamSpec | undefined {
     const domain = entries.get(request.entryId)?.state.failureDomain;
     let best: work.UpstreamSpec | undefined;
     let bestWeight = Infinity;
-    for (const upstream of pool.upstreams) {
+    for (const upstream of upstreams) {
       if (
         countFreeSlots(upstream) <= 0 ||
         request.avoided.includes(upstream.id) || !budget.hasToken(upstream.id)
@@ -334,9 +334,13 @@
 
   function grantSlots(poolName: string, pool: PoolState): void {
     let remaining = computeLimit(pool) - countUsedSlots(pool);
-    for (const request of listQueue(poolName)) {
+    const queue = listQueue(poolName);
+    if (queue.length === 0) return;
+    const usable = pool.upstreams.filter(({ id }) => budget.hasToken(id));
+    if (usable.length === 0) return;
+    for (const request of queue) {
       if (remaining < 1) return;
-      const upstream = chooseUpstream(request, pool);
+      const upstream = chooseUpstream(request, usable);
       if (upstream === undefined) continue;
       const entry = entries.get(request.entryId);
       if (entry === undefined) continue;
@@ -364,8 +368,10 @@
    */
   function refuseLongWaits(poolName: string, pool: PoolState): void {
     const queue = listQueue(poolName);
+    if (queue.length === 0) return;
     const nowMs = clock.now();
     const unlimited = pool.upstreams.filter(({ id }) => !budget.isLimited(id));
+    const total = budget.sum(pool.upstreams.map(({ id }) => id));
     const isSlotFree = computeLimit(pool) - countUsedSlots(pool) >= 1;
     let rateLimitedCount = 0;
     queue.forEach((request, index) => {
@@ -378,7 +384,11 @@
           ? 0
           : (index + 1) * millisecondsPerSecond / pool.freedPerSecond;
       const rateWaitMs = isRateLimited
-        ? estimateRateWait(request, pool, rateLimitedCount)
+        ? estimateRateWait(request, {
+          position: rateLimitedCount,
+          total,
+          poolName,
+        })
         : 0;
       const predictedWaitMs = Math.max(slotWaitMs, rateWaitMs);
       const waitedMs = nowMs - request.arrivedAtMs;
@@ -399,13 +409,21 @@
 
   /** Estimates the wait of the nth request that rate limits hold back. */
   function estimateRateWait(
-    request: QueuedRequest,
-    pool: PoolState,
-    position: number,
+    { avoided }: QueuedRequest,
+    { position, total, poolName }: {
+      readonly position: number;
+      /** Sum of all upstreams of the pool. */
+      readonly total: rateBudget.TokenSum;
+      readonly poolName: string;
+    },
   ): number {
-    const ids = pool.upstreams.map(({ id }) => id)
-      .filter((id) => !request.avoided.includes(id));
-    return budget.estimateWaitMs(ids, position);
+    const excluded = budget.sum(
+      avoided.filter((id) => upstreamById.get(id)?.pool === poolName),
+    );
+    const ratePerMs = total.ratePerMs - excluded.ratePerMs;
+    if (ratePerMs < Number.EPSILON) return 0;
+    const missing = position - (total.tokens - excluded.tokens);
+    return Math.max(0, missing) / ratePerMs;
   }
 
   function computeRetryMs(predictedWaitMs: number): number {
