--- a/packages/coordination/src/roster_test.ts
+++ b/packages/coordination/src/roster_test.ts
@@ -130,6 +130,24 @@
   }
 });
 
+test.each([600, 1_000, 1_400, 3_000])(
+  "members keep each other when the hub returns after %d ms",
+  (downMs) => {
+    const cluster = createCluster(13);
+    cluster.run(1_000);
+    cluster.run(downMs, { isDown: (id) => id === "n0" });
+    for (let elapsedMs = 0; elapsedMs < 3_000; elapsedMs += roster.tickMs) {
+      cluster.run(roster.tickMs);
+      for (const { id, roster: memberRoster } of cluster.nodes) {
+        if (id === "n0") continue;
+        const others = memberRoster.listLive().filter(({ id }) => id !== "n0");
+        expect(others).toHaveLength(12);
+      }
+    }
+    expect(listHubs(cluster)).toEqual(["n0"]);
+  },
+);
+
 test("a member that is down stays recent for a time, the live ones always", () => {
   const cluster = createCluster(13);
   cluster.run(40_000);
