--- a/packages/anvilhinge/src/entry/choice/routed_policy.ts
+++ b/packages/anvilhinge/src/entry/choice/routed_policy.ts
@@ -306,10 +306,6 @@
     return best[Math.floor(options.random() * best.length)];
   }
 
-  function isLimited({ listed }: TrackedUpstream): boolean {
-    return limits.get(listed.id) !== undefined;
-  }
-
   /**
    * Chooses an upstream of a service without engines. Returns undefined if only
    * the hub can: the chosen upstream has a rate limit for all entries together.
@@ -326,12 +322,12 @@
       const reason = `No upstream of service ${service} is left`;
       return { kind: "none", reason, retryAfterMs: noUpstreamRetryMs };
     }
-    if (!isLimited(candidate)) {
+    if (!limits.isLimited(candidate.listed.id)) {
       return { kind: "chosen", upstream: candidate.upstream };
     }
     if (slots.hasHub()) return undefined;
     const unlimited = chooseLeastLoaded(
-      usable.filter((tracked) => !isLimited(tracked)),
+      usable.filter(({ listed }) => !limits.isLimited(listed.id)),
     );
     return unlimited && { kind: "chosen", upstream: unlimited.upstream };
   }
--- a/packages/coordination/src/dispatch/rate_budget.ts
+++ b/packages/coordination/src/dispatch/rate_budget.ts
@@ -16,7 +16,6 @@
 }
 
 export interface RateBudget {
-  isLimited(upstreamId: string): boolean;
   /** Whether a request may be granted; always true without a limit. */
   hasToken(upstreamId: string): boolean;
   /** Records that a request was granted. */
@@ -82,7 +81,6 @@
   }
 
   return {
-    isLimited: (upstreamId) => limits.get(upstreamId) !== undefined,
     hasToken(upstreamId) {
       const ratePerMs = getRatePerMs(upstreamId);
       return ratePerMs === undefined || countTokens(upstreamId, ratePerMs) >= 1;
--- a/packages/coordination/src/dispatch/rate_limits.ts
+++ b/packages/coordination/src/dispatch/rate_limits.ts
@@ -62,6 +62,7 @@
   observe(observation: RateLimitObservation): void;
   /** Requests per second; undefined without a limit. */
   get(upstreamId: string): number | undefined;
+  isLimited(upstreamId: string): boolean;
   /** Time since which the upstream has had a limit; undefined without one. */
   getStart(upstreamId: string): number | undefined;
   list(): readonly RateLimit[];
@@ -120,16 +121,16 @@
   ): void {
     const previous = records.get(upstreamId);
     if (previous !== undefined && record.atMs < previous.atMs) return;
-    const before = previous?.requestsPerSecond;
     const { requestsPerSecond } = record;
     if (previous === undefined && requestsPerSecond === undefined) return;
-    const startedAtMs = before === undefined
+    const startedAtMs = previous?.requestsPerSecond === undefined
       ? clock.now()
-      : previous?.startedAtMs ?? clock.now();
-    if (before === requestsPerSecond) {
+      : previous.startedAtMs;
+    if (previous?.requestsPerSecond === requestsPerSecond) {
       records.set(upstreamId, { ...record, startedAtMs });
       return;
     }
+    // A change moves the record to the end, so that it is sent first.
     records.delete(upstreamId);
     records.set(upstreamId, { ...record, startedAtMs });
     cachedHash = undefined;
@@ -148,6 +149,14 @@
     }
   }
 
+  function getLimit(upstreamId: string): number | undefined {
+    return records.get(upstreamId)?.requestsPerSecond;
+  }
+
+  function isLimited(upstreamId: string): boolean {
+    return getLimit(upstreamId) !== undefined;
+  }
+
   function list(): readonly RateLimit[] {
     return [...records].flatMap(([upstreamId, { requestsPerSecond }]) =>
       requestsPerSecond === undefined ? [] : [{ upstreamId, requestsPerSecond }]
@@ -199,13 +208,10 @@
           return;
       }
     },
-    get: (upstreamId) => records.get(upstreamId)?.requestsPerSecond,
-    getStart(upstreamId) {
-      const record = records.get(upstreamId);
-      return record?.requestsPerSecond === undefined
-        ? undefined
-        : record.startedAtMs;
-    },
+    get: getLimit,
+    isLimited,
+    getStart: (upstreamId) =>
+      isLimited(upstreamId) ? records.get(upstreamId)?.startedAtMs : undefined,
     list,
     setUpstreams(ids) {
       listedIds = ids;
--- a/packages/coordination/src/dispatch/work_client.ts
+++ b/packages/coordination/src/dispatch/work_client.ts
@@ -134,7 +134,7 @@
     const candidates = upstreams.filter((upstream) =>
       upstream.pool === request.pool &&
       !request.avoided.includes(upstream.id) &&
-      limits.get(upstream.id) === undefined
+      !limits.isLimited(upstream.id)
     );
     let best: work.UpstreamSpec | undefined;
     let bestLoad = Infinity;
--- a/packages/coordination/src/dispatch/work_hub.ts
+++ b/packages/coordination/src/dispatch/work_hub.ts
@@ -370,8 +370,8 @@
     const queue = listQueue(poolName);
     if (queue.length === 0) return;
     const nowMs = clock.now();
-    const unlimited = pool.upstreams.filter(({ id }) => !budget.isLimited(id));
-    const total = budget.sum(pool.upstreams.map(({ id }) => id));
+    const unlimited = pool.upstreams.filter(({ id }) => !limits.isLimited(id));
+    let total: rateBudget.TokenSum | undefined;
     const isSlotFree = computeLimit(pool) - countUsedSlots(pool) >= 1;
     let rateLimitedCount = 0;
     queue.forEach((request, index) => {
@@ -383,13 +383,12 @@
         pool.freedPerSecond === 0 || (isRateLimited && isSlotFree)
           ? 0
           : (index + 1) * millisecondsPerSecond / pool.freedPerSecond;
-      const rateWaitMs = isRateLimited
-        ? estimateRateWait(request, {
-          position: rateLimitedCount,
-          total,
-          poolName,
-        })
-        : 0;
+      let rateWaitMs = 0;
+      if (isRateLimited) {
+        total ??= budget.sum(pool.upstreams.map(({ id }) => id));
+        const position = rateLimitedCount;
+        rateWaitMs = estimateRateWait(request, { position, total, poolName });
+      }
       const predictedWaitMs = Math.max(slotWaitMs, rateWaitMs);
       const waitedMs = nowMs - request.arrivedAtMs;
       const isTooLong = waitedMs + predictedWaitMs > maxWaitMs ||
@@ -574,7 +573,7 @@
         limit: computeLimit(pool),
         freedPerSecond: pool.freedPerSecond,
         passMs: Math.round(pool.lastPassMs),
-        rateLimited: pool.upstreams.filter(({ id }) => budget.isLimited(id))
+        rateLimited: pool.upstreams.filter(({ id }) => limits.isLimited(id))
           .length,
       })),
   };
--- a/packages/coordination/src/roster.ts
+++ b/packages/coordination/src/roster.ts
@@ -198,7 +198,7 @@
   function recordMember(
     info: MemberInfo<Details>,
     heardAgoMs: number,
-    report: Pick<OtherMember<Details>, "hash" | "token"> = {},
+    hello: Pick<OtherMember<Details>, "hash" | "token"> = {},
   ): void {
     if (info.id === self.id) return;
     const lastSeenAtMs = clock.now() - heardAgoMs;
@@ -211,7 +211,7 @@
     const liveBeforeMs = isSameIncarnation ? previous.liveUntilMs : -Infinity;
     otherMembers.set(info.id, {
       ...(isSameIncarnation ? previous : {}),
-      ...report,
+      ...hello,
       info,
       lastSeenAtMs: Math.max(seenBeforeMs, lastSeenAtMs),
       liveUntilMs: Math.max(liveBeforeMs, lastSeenAtMs + memberTimeoutMs),
@@ -274,8 +274,8 @@
     return taken;
   }
 
-  /** Sends hellos to members that may not know this one. */
-  function sendToUnknowing(): Sends {
+  /** Sends hellos to addresses where a member may not know this one. */
+  function sendToSeedsAndLost(): Sends {
     const others = [...seeds].filter((address) => address !== self.address);
     const isAlone = listLive().length === 1;
     if (!isAlone && tickCount % seedIntervalTicks !== 0) return [];
@@ -360,7 +360,7 @@
   return {
     tick() {
       tickCount += 1;
-      return [...publish(), ...sendToUnknowing()];
+      return [...publish(), ...sendToSeedsAndLost()];
     },
     handle: (message) =>
       message.kind === "hello" ? handleHello(message) : handleRoster(message),
