--- a/packages/anvilhinge/src/entry/routed_entry.ts
+++ b/packages/anvilhinge/src/entry/routed_entry.ts
@@ -114,6 +114,7 @@
 export async function runRoutedEntry(
   { settings, platform, signal, ...options }: RoutedEntryOptions,
 ): Promise<void> {
+  const maxKeyAgeMs = maxKeyAgeShare * settings.bounds.revocationMs;
   const abort = new AbortController();
   const clock = systemScheduler.createSystemScheduler();
   const elapsed = elapsedClock.createElapsedClock({
@@ -217,6 +218,7 @@
     random: options.random,
     logger: log,
     signal: abort.signal,
+    maxAgeMs: maxKeyAgeMs,
     isHub: roster.isHub,
     onRouting({ settings: currentSettings }) {
       const { limits } = currentSettings;
@@ -243,7 +245,7 @@
       logger: log,
       metrics: entryMetrics,
       state,
-      maxKeyAgeMs: maxKeyAgeShare * settings.bounds.revocationMs,
+      maxKeyAgeMs,
     }),
   );
   const status: EntryStatus = {
--- a/packages/anvilhinge/src/entry/routing/followed_prefix.ts
+++ b/packages/anvilhinge/src/entry/routing/followed_prefix.ts
@@ -27,6 +27,8 @@
   readonly random: random.RandomSource;
   readonly signal: AbortSignal;
   readonly prefix: string;
+  /** Age up to which the view is used, in milliseconds. */
+  readonly maxAgeMs: number;
   readonly isHub: () => boolean;
   readonly onList: (objects: readonly objectStore.StoredObject[]) => void;
   readonly onObject: (object: objectStore.StoredObject) => void;
@@ -45,15 +47,22 @@
 /** Mean delay after the first failed call; it doubles up to about a second. */
 const retryDelayMs = 150;
 const maxRetryDoublings = 3;
-/** Interval between confirmations that this entry requests from the store. */
-const confirmIntervalMs = 1_000;
+/**
+ * Longest interval between confirmations that this entry requests from the store,
+ * and the most of the maximum age that it may be.
+ */
+const longestConfirmIntervalMs = 1_000;
+const maxConfirmShare = 0.25;
 /**
  * Interval between confirmations after a failed call. It is short, so that work
  * that waits for the store continues as soon as the store is available.
  */
 const unavailableConfirmIntervalMs = 100;
-/** Age of the view above which an entry requests confirmations itself. */
-const maxHubConfirmedAgeMs = 2_500;
+/**
+ * Part of the maximum age above which an entry requests confirmations itself. The
+ * remainder covers a confirmation and its retries.
+ */
+const hubConfirmedShare = 0.55;
 /**
  * Time in which the watch should deliver a change that the hub's view contains.
  * Afterwards the watch is assumed to be broken and is replaced.
@@ -70,7 +79,11 @@
 export function startFollowing(
   options: FollowedPrefixOptions,
 ): FollowedPrefix {
-  const { scheduler, elapsed, signal } = options;
+  const { scheduler, elapsed, signal, maxAgeMs } = options;
+  const confirmIntervalMs = Math.min(
+    longestConfirmIntervalMs,
+    maxConfirmShare * maxAgeMs,
+  );
   let watchAbort = new AbortController();
   let isRequestingConfirmations = true;
   let isUnavailable = false;
@@ -143,7 +156,7 @@
   /** Decides who confirms the view, and replaces a watch that lags behind. */
   function check(): void {
     const isRequestNeeded = options.isHub() ||
-      getAgeMs() > maxHubConfirmedAgeMs;
+      getAgeMs() > hubConfirmedShare * maxAgeMs;
     const isWatchBehind = behindSinceMs !== undefined &&
       elapsed.now() - behindSinceMs > watchLagTimeoutMs;
     const wasRequesting = isRequestingConfirmations;
--- a/packages/anvilhinge/src/entry/routing/routing_view.ts
+++ b/packages/anvilhinge/src/entry/routing/routing_view.ts
@@ -45,6 +45,8 @@
   readonly random: random.RandomSource;
   readonly logger: logger.Logger;
   readonly signal: AbortSignal;
+  /** Age of the view up to which keys are accepted, in milliseconds. */
+  readonly maxAgeMs: number;
   /** Whether this entry is the hub, which confirms the view for all entries. */
   readonly isHub: () => boolean;
   readonly onRouting: (table: routeTable.RouteTable) => void;
