--- a/packages/anvilhinge/src/agent/ranks/map_rebalancer.ts
+++ b/packages/anvilhinge/src/agent/ranks/map_rebalancer.ts
@@ -12,6 +12,7 @@
 import type * as scheduler from "../../ports/scheduler.ts";
 import type * as routing from "../../settings/routing.ts";
 import type * as logger from "../../telemetry/logger.ts";
+import type * as callStats from "./call_stats.ts";
 import type * as rankRpc from "./rank_rpc.ts";
 import type * as rankPeers from "./rank_peers.ts";
 import type * as rankCallRouter from "./rank_call_router.ts";
@@ -24,6 +25,12 @@
   readonly scheduler: scheduler.Scheduler;
   readonly logger: logger.Logger;
   readonly callRank: rankCallRouter.CallRank;
+  /** Lists the recently seen agents of the group. */
+  readonly listPeers: () => readonly rankPeers.RankPeer[];
+  /** Returns the statistics of the calls since the previous ones. */
+  readonly takeCallSummary: () => callStats.CallSummary;
+  /** Returns the longest delay of the event loop since the previous call. */
+  readonly takeLoopDelayMs: () => number;
   readonly createVersion: mapVersions.CreateMapVersion;
   /**
    * Whether no earlier process of this rank can have led in the epoch and held
@@ -56,6 +63,17 @@
   readonly outcome: switchRound.RoundOutcome;
   /** Time spent in each phase, in milliseconds. */
   readonly phaseMs: Readonly<Partial<Record<switchRound.RoundPhase, number>>>;
+  /** The call that took longest. */
+  readonly slowest: SlowestCall | undefined;
+  readonly calls: callStats.CallSummary;
+  readonly loopDelayMs: number;
+}
+
+interface SlowestCall {
+  readonly rank: number;
+  readonly phase: switchRound.RoundPhase;
+  readonly tookMs: number;
+  readonly answer: string;
 }
 
 /** Expert map of the group and the states from which it was read. */
@@ -104,6 +122,9 @@
 const armingDecayFactor = 0.8;
 /** Pause after a failed round, a rejected plan or a check for a hold. */
 const retryDelayMs = 300;
+const passLogIntervalMs = 1_000;
+/** Pace above which a rank is listed as slow. */
+const slowPace = 1.1;
 
 /** Creates the map rebalancer of one agent. */
 export function createMapRebalancer(
@@ -126,6 +147,7 @@
   let enteredEpoch: number | undefined;
   let countsEpoch: number | undefined;
   let pausedUntilMs = -Infinity;
+  let loggedAtMs = -Infinity;
   /** Pass of the last switch; no further round starts before that pass. */
   let switchStep = 0;
 
@@ -202,6 +224,9 @@
     const phaseMs: Partial<Record<switchRound.RoundPhase, number>> = {};
     let expectedSilentRank = silentRank;
     let phaseSinceMs = scheduler.now();
+    let slowest: SlowestCall | undefined;
+    options.takeCallSummary();
+    options.takeLoopDelayMs();
     const round = switchRound.createSwitchRound({
       ownRank: status.rank,
       rankCount: status.size,
@@ -227,18 +252,30 @@
 
       async function execute(effect: switchRound.RoundEffect): Promise<void> {
         if (effect.kind === "finish") {
-          return resolve({ outcome: effect.outcome, phaseMs });
+          return resolve({
+            outcome: effect.outcome,
+            phaseMs,
+            slowest,
+            calls: options.takeCallSummary(),
+            loopDelayMs: options.takeLoopDelayMs(),
+          });
         }
         const { call, rank } = effect;
         const isExpectedSilent = rank === expectedSilentRank;
         if (isExpectedSilent) expectedSilentRank = undefined;
+        const startedAtMs = scheduler.now();
+        const phase = round.getPhase();
         const answer = await options.callRank(
           rank,
           effect.kind === "read"
             ? { kind: "report" }
             : { kind: "order", order: effect.order, epoch: status.epoch },
-          chooseRoute(effect, round.getPhase(), isExpectedSilent),
+          chooseRoute(effect, phase, isExpectedSilent),
         );
+        const tookMs = Math.round(scheduler.now() - startedAtMs);
+        if (tookMs > (slowest?.tookMs ?? 0)) {
+          slowest = { rank, phase, tookMs, answer: describeAnswer(answer) };
+        }
         feed(convertAnswer(answer, { call, rank }));
       }
 
@@ -283,7 +320,7 @@
     };
     const [silentRank] = listSilentRanks(snapshots);
     logger.warn("Ending an abandoned hold", { ...details, silentRank });
-    const { outcome, phaseMs } = await runRound(status, {
+    const result = await runRound(status, {
       kind: "clear",
       heldRank: rank,
       heldStep,
@@ -291,8 +328,7 @@
     }, silentRank);
     logger.info("Round to end an abandoned hold finished", {
       ...details,
-      phaseMs,
-      outcome,
+      ...result,
     });
   }
 
@@ -322,12 +358,13 @@
       return;
     }
     const startedAtMs = scheduler.now();
-    const { outcome, phaseMs } = await runRound(status, {
+    const result = await runRound(status, {
       kind: "start",
       layers: plan.map.layers,
       currentLayers: map.layers,
       states: map.states,
     });
+    const { outcome, phaseMs } = result;
     const isSwitched = outcome.kind === "switched";
     const { holding = 0, opening = 0, arming = 0 } = phaseMs;
     const spentMs = holding + opening + arming;
@@ -341,8 +378,7 @@
       skewAfter: trimDecimals(skewAfter),
       copies,
       tookMs: Math.round(scheduler.now() - startedAtMs),
-      phaseMs,
-      outcome,
+      ...result,
     });
   }
 
@@ -397,6 +433,23 @@
     }
   }
 
+  /** Logs the duration of the passes and what may prolong them. */
+  function writePassLog(status: rankPeers.RankStatus): void {
+    const nowMs = scheduler.now();
+    if (nowMs - loggedAtMs < passLogIntervalMs) return;
+    loggedAtMs = nowMs;
+    logger.info("Passes of the group", {
+      group: status.group,
+      epoch: status.epoch,
+      step: status.step,
+      passMs: Math.round(passMs),
+      stalledMs: Math.round(status.stalledMs),
+      slowRanks: [status, ...options.listPeers().map((peer) => peer.status)]
+        .filter(({ pace }) => pace > slowPace)
+        .map(({ rank, pace }) => ({ rank, pace: trimDecimals(pace) })),
+    });
+  }
+
   /** Sets a bound on the passes of this epoch that this rank may have held. */
   function enterEpoch(status: rankPeers.RankStatus): void {
     if (enteredEpoch === status.epoch) return;
@@ -413,6 +466,7 @@
     async tick(status) {
       enterEpoch(status);
       observePass(status);
+      writePassLog(status);
       const popularity = await samplePopularity();
       const isDue = popularity !== undefined &&
         popularity.agreeingSamples >= minAgreeingSamples &&
@@ -521,6 +575,11 @@
   }
 }
 
+function describeAnswer(answer: rankRpc.RankAnswer | undefined): string {
+  if (answer === undefined) return "none";
+  return answer.kind === "order" ? answer.outcome.kind : answer.kind;
+}
+
 /** Returns the fraction of the ranks' slots that are in use. */
 function computeOccupancy(
   answered: readonly RankSnapshot[],
--- a/packages/anvilhinge/src/agent/ranks/rank_agent.ts
+++ b/packages/anvilhinge/src/agent/ranks/rank_agent.ts
@@ -9,6 +9,7 @@
 import type * as rankEngine from "../../ports/rank_engine.ts";
 import type * as scheduler from "../../ports/scheduler.ts";
 import type * as logger from "../../telemetry/logger.ts";
+import * as callStats from "./call_stats.ts";
 import * as remoteEngine from "./remote_engine.ts";
 import * as mapRebalancer from "./map_rebalancer.ts";
 import * as stallDetector from "./stall_detector.ts";
@@ -50,6 +51,11 @@
   /** False when the process was restarted on its machine. */
   readonly isFirstStart: boolean;
   readonly readWallMs: () => number;
+  /**
+   * Returns the longest delay of the event loop since the previous call, in
+   * milliseconds.
+   */
+  readonly takeLoopDelayMs: () => number;
   /** Returns undefined until the spec has been read from the object store. */
   readonly getSpec: () => GroupSpec | undefined;
   /** Lists the addresses at which other agents may listen. */
@@ -76,6 +82,8 @@
 /** Interval between iterations of the leader; about one forward pass. */
 const leaderIntervalMs = 50;
 const maxCopiesPerRank = 2;
+/** Lower ranks that are listed when the leader changes. */
+const maxDescribedRanks = 3;
 /** Margin that is added to the specified maximum lag of reports. */
 const reportLagMarginMs = 50;
 /** Assumed until the spec has been read. */
@@ -100,11 +108,13 @@
   const { engine, scheduler, signal, sockets, logger } = options;
   const peers = rankPeers.createRankPeers({ clock: scheduler });
   const stalls = stallDetector.createStallDetector();
+  const stats = callStats.createCallStats();
   const calls = rankRpc.createRankRpc({
     engine,
     scheduler,
     sockets,
     incarnation: options.incarnation,
+    onCallEnd: stats.record,
   });
   const callRank = rankCallRouter.createRankCallRouter({
     calls,
@@ -168,6 +178,7 @@
         step: state.step,
         isBusy: report.running + report.waiting > 0 && state.isOpen,
       }),
+      pace: report.pace,
       engine: options.engineAddress,
     };
     peers.setOwn(status);
@@ -184,11 +195,25 @@
         rank: status.rank,
         epoch: status.epoch,
         live: peers.listLive().length + 1,
+        lowerRanks: describeLowerRanks(status),
       });
     }
     if (!isElected) rebalancer?.reset();
   }
 
+  /** Describes the ranks that would lead instead of this one. */
+  function describeLowerRanks(
+    { rank }: rankPeers.RankStatus,
+  ): readonly Readonly<Record<string, unknown>>[] {
+    return peers.listRecent().filter(({ status }) => status.rank < rank)
+      .slice(0, maxDescribedRanks)
+      .map(({ status, lastSeenAtMs }) => ({
+        rank: status.rank,
+        canLead: status.canLead,
+        silentMs: Math.round(scheduler.now() - lastSeenAtMs),
+      }));
+  }
+
   /**
    * Runs leader iterations while this agent leads, beside the status loop. An
    * iteration that has started, and its switch round, continue after another
@@ -219,6 +244,9 @@
       scheduler,
       logger,
       callRank,
+      listPeers: peers.listRecent,
+      takeCallSummary: stats.takeSummary,
+      takeLoopDelayMs: options.takeLoopDelayMs,
       createVersion: mapVersions.createMapVersionGenerator({
         rank: status.rank,
         readWallMs: options.readWallMs,
--- a/packages/anvilhinge/src/agent/ranks/rank_peers.ts
+++ b/packages/anvilhinge/src/agent/ranks/rank_peers.ts
@@ -22,6 +22,8 @@
   readonly step: number;
   /** Time since the last pass began, in milliseconds; 0 without requests. */
   readonly stalledMs: number;
+  /** Time for a unit of work relative to a sound rank; above 1 = slow. */
+  readonly pace: number;
   /** Address of the rank's engine, as `host:port`. */
   readonly engine: string;
 }
@@ -41,6 +43,8 @@
   findGroup(address: string): string | undefined;
   /** Lists the live agents of this agent's group, sorted by rank. */
   listLive(): readonly RankPeer[];
+  /** Lists the recently seen agents of this group, sorted by rank. */
+  listRecent(): readonly RankPeer[];
   /** Whether the peer's last status is within the timeout for its rank. */
   isLive(peer: RankPeer): boolean;
   /** Whether the peer is of this group and was seen within `peerTimeoutMs`. */
@@ -136,6 +140,7 @@
     },
     findGroup: (address) => peers.get(address)?.status.group,
     listLive,
+    listRecent,
     isLive: (peer) => isRecent(peer) && isLiveAmong(peer, listRecent()),
     isRecent,
     findLastSeen(rank) {
--- a/packages/anvilhinge/src/agent/ranks/rank_peers_test.ts
+++ b/packages/anvilhinge/src/agent/ranks/rank_peers_test.ts
@@ -13,6 +13,7 @@
     heldStep: undefined,
     step: 1,
     stalledMs: 0,
+    pace: 1,
     engine: "10.0.0.1:1",
     ...options,
   };
--- a/packages/anvilhinge/src/agent/ranks/rank_rpc.ts
+++ b/packages/anvilhinge/src/agent/ranks/rank_rpc.ts
@@ -9,6 +9,7 @@
 import type * as datagrams from "../../adapters/datagrams.ts";
 import type * as rankEngine from "../../ports/rank_engine.ts";
 import type * as scheduler from "../../ports/scheduler.ts";
+import type * as callStats from "./call_stats.ts";
 import * as orderRunner from "./order_runner.ts";
 
 /** A call from the leader to an agent. */
@@ -62,6 +63,8 @@
   readonly sockets: datagrams.Datagrams;
   /** Makes the ids of this process's calls unique. */
   readonly incarnation: string;
+  /** Called at the end of each call to another agent. */
+  readonly onCallEnd: (call: callStats.EndedCall) => void;
 }
 
 export interface RankRpc {
@@ -196,16 +199,22 @@
       const { signal } = abort;
       let resendMs = getResendIntervalMs(call);
       const maxResendMs = resendMs * 2 ** maxResendDoublings;
+      const startedAtMs = scheduler.now();
+      let sends = 0;
       return new Promise((resolve) => {
         const pending: PendingCall = {
           isReceived: false,
           finish(answer) {
             abort.abort();
             pendingCalls.delete(id);
+            const tookMs = scheduler.now() - startedAtMs;
+            const isAnswered = answer !== undefined;
+            options.onCallEnd({ sends, tookMs, isAnswered });
             resolve(answer);
           },
         };
         function send(): void {
+          sends += pending.isReceived ? 0 : 1;
           sockets.send(pending.isReceived ? poll : message, address);
           const delayMs = pending.isReceived ? pollIntervalMs : resendMs;
           resendMs = Math.min(maxResendMs, 2 * resendMs);
--- a/packages/anvilhinge/src/agent/routed_agent.ts
+++ b/packages/anvilhinge/src/agent/routed_agent.ts
@@ -4,6 +4,7 @@
 import * as hostPort from "../adapters/address.ts";
 import * as datagrams from "../adapters/datagrams.ts";
 import * as delay from "../adapters/delay.ts";
+import * as loopDelay from "../telemetry/loop_delay.ts";
 import * as systemScheduler from "../adapters/system_scheduler.ts";
 import type * as routingView from "../entry/routing/routing_view.ts";
 import type * as objectStore from "../ports/object_store.ts";
@@ -143,6 +144,7 @@
     incarnation: nodeCrypto.randomUUID(),
     isFirstStart: settings.isFirstStart,
     readWallMs: Date.now,
+    takeLoopDelayMs: loopDelay.createLoopDelayMeter({ signal }),
     getSpec: () => spec,
     listAddresses: () => addresses,
     signal,
--- a/packages/anvilhinge/src/ports/rank_engine.ts
+++ b/packages/anvilhinge/src/ports/rank_engine.ts
@@ -11,6 +11,8 @@
   readonly running: number;
   /** Number of requests that are queued. */
   readonly waiting: number;
+  /** Time for a unit of work relative to a sound rank; above 1 = slow. */
+  readonly pace: number;
   /** Wall-clock time at which the engine started. */
   readonly startedAtMs: number;
 }
--- a/packages/anvilhinge/src/testing/rank_group_harness.ts
+++ b/packages/anvilhinge/src/testing/rank_group_harness.ts
@@ -144,6 +144,7 @@
       startedAtMs: 0,
       running: runningRequests,
       waiting: 0,
+      pace: 1,
       state: {
         rank,
         epoch,
@@ -354,6 +355,7 @@
       incarnation: `process-${rank}`,
       isFirstStart: true,
       readWallMs: () => manual.now() + 1_000_000,
+      takeLoopDelayMs: () => 0,
       getSpec: () => ({
         slots: 8,
         reportLagMs,
--- a/packages/coordination/src/dispatch/work_hub.ts
+++ b/packages/coordination/src/dispatch/work_hub.ts
@@ -83,6 +83,12 @@
   readonly passMs: number;
   /** Number of upstreams with a rate limit. */
   readonly rateLimited: number;
+  /** Requests that were granted a slot. */
+  readonly granted: number;
+  /** Those of them whose target time had passed. */
+  readonly grantedLate: number;
+  /** Requests that were refused. */
+  readonly refused: number;
 }
 
 interface QueuedRequest extends work.WaitingRequest {
@@ -125,6 +131,9 @@
   freedPerSecond: number;
   freedSlots: number;
   rateUpdatedAtMs: number;
+  granted: number;
+  grantedLate: number;
+  refused: number;
 }
 
 const defaultMaxWaitMs = 1_200;
@@ -345,6 +354,8 @@
       const entry = entries.get(request.entryId);
       if (entry === undefined) continue;
       remaining -= 1;
+      pool.granted += 1;
+      if (request.aimAtMs < clock.now()) pool.grantedLate += 1;
       budget.take(upstream.id);
       entry.queued.delete(request.key);
       entry.pendingGrants.set(request.key, {
@@ -394,6 +405,7 @@
       const isTooLong = waitedMs + predictedWaitMs > maxWaitMs ||
         nowMs + predictedWaitMs > request.abandonAtMs;
       if (!isTooLong) return;
+      pool.refused += 1;
       const entry = entries.get(request.entryId);
       entry?.queued.delete(request.key);
       entry?.denials.set(request.key, {
@@ -541,6 +553,9 @@
           freedPerSecond: previous?.freedPerSecond ?? 0,
           freedSlots: previous?.freedSlots ?? 0,
           rateUpdatedAtMs: previous?.rateUpdatedAtMs ?? clock.now(),
+          granted: previous?.granted ?? 0,
+          grantedLate: previous?.grantedLate ?? 0,
+          refused: previous?.refused ?? 0,
         });
       }
     },
@@ -575,6 +590,9 @@
         passMs: Math.round(pool.lastPassMs),
         rateLimited: pool.upstreams.filter(({ id }) => limits.isLimited(id))
           .length,
+        granted: pool.granted,
+        grantedLate: pool.grantedLate,
+        refused: pool.refused,
       })),
   };
 }
