--- a/packages/anvilhinge/src/adapters/datagrams.ts
+++ b/packages/anvilhinge/src/adapters/datagrams.ts
@@ -29,7 +29,8 @@
 /** Limit on the length of a message after decompression, in bytes. */
 const maxMessageBytes = 4 * 1024 * 1024;
 
-function encodeMessage(message: unknown): Buffer {
+/** Encodes a message as one datagram. */
+export function encodeMessage(message: unknown): Buffer {
   const text = Buffer.from(JSON.stringify(message));
   if (text.byteLength < minCompressedBytes) return text;
   const { Z_BEST_SPEED: level } = zlib.constants;
--- a/packages/anvilhinge/src/agent/ranks/rank_agent_test.ts
+++ b/packages/anvilhinge/src/agent/ranks/rank_agent_test.ts
@@ -84,6 +84,37 @@
     expectSingleMap(harness);
   });
 
+  it("resume passes soon after the machine that sent the hold order is isolated", async () => {
+    const harness = rankGroupHarness.createRankGroupHarness({ rankCount });
+    expect(await advanceToHold(harness, 5_000)).toBe(true);
+    const sender = harness.getHoldSender()!;
+    harness.isolateMachine(sender);
+    await harness.scheduler.advanceAsync(2_500);
+    expect(harness.isPassHeld()).toBe(false);
+    expect(harness.takeLongestStall()).toBeLessThan(1_200);
+    expectSingleMap(harness);
+    harness.resumeAgent(sender);
+    await harness.scheduler.advanceAsync(3_000);
+    expect(harness.isPassHeld()).toBe(false);
+    expectSingleMap(harness);
+  });
+
+  it("leave a leader alone whose status is late while it switches the map", async () => {
+    const harness = rankGroupHarness.createRankGroupHarness({ rankCount });
+    await harness.scheduler.advanceAsync(3_000);
+    for (let round = 0; round < 5; round += 1) {
+      harness.setStatusLost(0, true);
+      await harness.scheduler.advanceAsync(400);
+      harness.shiftDemand();
+      await harness.scheduler.advanceAsync(800);
+      harness.setStatusLost(0, false);
+      await harness.scheduler.advanceAsync(1_200);
+    }
+    expect(harness.logMessages).not.toContain("Map switch aborted");
+    expect(harness.logMessages).not.toContain("Ending an abandoned hold");
+    expectSingleMap(harness);
+  });
+
   it.each([
     { name: "the leader's machine", rank: 0 },
     { name: "another machine", rank: 4 },
