--- a/packages/anvilhinge/src/agent/ranks/map_rebalancer.ts
+++ b/packages/anvilhinge/src/agent/ranks/map_rebalancer.ts
@@ -48,6 +48,10 @@
    * leader could hold a pass twice.
    */
   tick(status: rankPeers.RankStatus): Promise<void>;
+  /** Ends an abandoned hold of a stalled group; to be called like `tick`. */
+  watchHold(status: rankPeers.RankStatus): Promise<void>;
+  /** Pass whose hold the round in progress uses. */
+  getRoundStep(): number | undefined;
   /** Discards the collected counts of an agent that no longer leads. */
   reset(): void;
 }
@@ -97,6 +101,8 @@
 const stallThresholdMs = 300;
 /** Stall threshold in passes, for groups whose passes take long. */
 const stallThresholdPasses = 4;
+/** Time for which no round needs to hold a pass of an idle group. */
+const abandonedHoldMs = 1_000;
 /** Longer than an agent spends on one order (see `rank_rpc.ts`). */
 const orderTimeoutMs = 2_600;
 /**
@@ -148,6 +154,10 @@
   let countsEpoch: number | undefined;
   let pausedUntilMs = -Infinity;
   let loggedAtMs = -Infinity;
+  /** The last round, finished or not. */
+  let round: switchRound.SwitchRound | undefined;
+  /** Hold at this agent's rank, and when it was first seen. */
+  let ownHold: { readonly step: number; readonly sinceMs: number } | undefined;
   /** Pass of the last switch; no further round starts before that pass. */
   let switchStep = 0;
 
@@ -227,7 +237,7 @@
     let slowest: SlowestCall | undefined;
     options.takeCallSummary();
     options.takeLoopDelayMs();
-    const round = switchRound.createSwitchRound({
+    round = switchRound.createSwitchRound({
       ownRank: status.rank,
       rankCount: status.size,
       epoch: status.epoch,
@@ -236,17 +246,18 @@
       createVersion: options.createVersion,
       getLeaderRank: mapVersions.getLeaderRank,
     });
+    const currentRound = round;
     return new Promise((resolve) => {
       function feed(next: switchRound.RoundEvent): void {
-        const phase = round.getPhase();
-        const effects = round.handle(next);
-        if (round.getPhase() !== phase) {
+        const phase = currentRound.getPhase();
+        const effects = currentRound.handle(next);
+        if (currentRound.getPhase() !== phase) {
           const nowMs = scheduler.now();
           const spentMs = (phaseMs[phase] ?? 0) + nowMs - phaseSinceMs;
           phaseMs[phase] = Math.round(spentMs);
           phaseSinceMs = nowMs;
         }
-        lastHeldStep = Math.max(lastHeldStep ?? 0, round.getHeldStep());
+        lastHeldStep = Math.max(lastHeldStep ?? 0, currentRound.getHeldStep());
         for (const effect of effects) void execute(effect);
       }
 
@@ -264,7 +275,7 @@
         const isExpectedSilent = rank === expectedSilentRank;
         if (isExpectedSilent) expectedSilentRank = undefined;
         const startedAtMs = scheduler.now();
-        const phase = round.getPhase();
+        const phase = currentRound.getPhase();
         const answer = await options.callRank(
           rank,
           effect.kind === "read"
@@ -299,6 +310,8 @@
       });
     const held = findHeldState(snapshots);
     if (held === undefined && isConclusive(snapshots)) return;
+    // The agent that uses the hold ends it itself.
+    if (snapshots.some((snapshot) => isInRound(snapshot, held))) return;
     const map = isConclusive(snapshots)
       ? mergeMap(snapshots, status)
       : undefined;
@@ -433,6 +446,29 @@
     }
   }
 
+  /**
+   * Whether a hold may have been abandoned: the group is stalled, or, as an idle
+   * group begins no pass anyway, this agent's rank is held for long.
+   */
+  function isStalledOrHeld(status: rankPeers.RankStatus): boolean {
+    const nowMs = scheduler.now();
+    if (status.heldStep === undefined) ownHold = undefined;
+    else if (ownHold?.step !== status.heldStep) {
+      ownHold = { step: status.heldStep, sinceMs: nowMs };
+    }
+    const isHeld = ownHold !== undefined &&
+      nowMs - ownHold.sinceMs >= abandonedHoldMs;
+    const isStalled = status.stalledMs >=
+      Math.max(stallThresholdMs, stallThresholdPasses * passMs);
+    return isStalled || isHeld;
+  }
+
+  async function endHoldUnlessPaused(
+    status: rankPeers.RankStatus,
+  ): Promise<void> {
+    if (scheduler.now() >= pausedUntilMs) await endHold(status);
+  }
+
   /** Logs the duration of the passes and what may prolong them. */
   function writePassLog(status: rankPeers.RankStatus): void {
     const nowMs = scheduler.now();
@@ -472,15 +508,7 @@
         popularity.agreeingSamples >= minAgreeingSamples &&
         status.step >= switchStep &&
         scheduler.now() >= pausedUntilMs;
-      const isStalled = status.stalledMs >=
-        Math.max(stallThresholdMs, stallThresholdPasses * passMs);
-      // A hold at this agent's own rank was placed by another leader, because a
-      // leader holds passes at the next rank. A hold at any other rank shows
-      // only as a stall.
-      if (isStalled || status.heldStep !== undefined) {
-        if (scheduler.now() >= pausedUntilMs) await endHold(status);
-        return;
-      }
+      if (isStalledOrHeld(status)) return await endHoldUnlessPaused(status);
       if (popularity === undefined || !isDue) return;
       const snapshots = await collectSnapshots(status, {
         timeoutMs: readTimeoutMs,
@@ -505,6 +533,12 @@
       if (skew <= allowedSkew) return;
       return switchMap(status, { map, popularity, allowedSkew });
     },
+    async watchHold(status) {
+      enterEpoch(status);
+      observePass(status);
+      if (isStalledOrHeld(status)) await endHoldUnlessPaused(status);
+    },
+    getRoundStep: () => round?.getActiveStep(),
     reset() {
       window.reset();
     },
@@ -543,6 +577,15 @@
     .find(({ heldStep }) => heldStep !== undefined);
 }
 
+/** Whether a round of the rank's agent uses the hold. */
+function isInRound(
+  snapshot: RankSnapshot | undefined,
+  held: rankOrders.RankState | undefined,
+): boolean {
+  return held?.heldStep !== undefined &&
+    snapshot?.roundStep === held.heldStep;
+}
+
 function listSilentRanks(snapshots: GroupSnapshot): readonly number[] {
   return [...snapshots.keys()].filter((rank) => snapshots[rank] === undefined);
 }
--- a/packages/anvilhinge/src/agent/ranks/rank_agent.ts
+++ b/packages/anvilhinge/src/agent/ranks/rank_agent.ts
@@ -109,11 +109,13 @@
   const peers = rankPeers.createRankPeers({ clock: scheduler });
   const stalls = stallDetector.createStallDetector();
   const stats = callStats.createCallStats();
+  let rebalancer: mapRebalancer.MapRebalancer | undefined;
   const calls = rankRpc.createRankRpc({
     engine,
     scheduler,
     sockets,
     incarnation: options.incarnation,
+    getRoundStep: () => rebalancer?.getRoundStep(),
     onCallEnd: stats.record,
   });
   const callRank = rankCallRouter.createRankCallRouter({
@@ -128,7 +130,6 @@
           (options.getSpec()?.reportLagMs ?? defaultReportLagMs),
       }),
   });
-  let rebalancer: mapRebalancer.MapRebalancer | undefined;
   let ownRank: number | undefined;
   /**
    * Epoch that was open at the first read of the engine; an earlier process of
@@ -215,16 +216,18 @@
   }
 
   /**
-   * Runs leader iterations while this agent leads, beside the status loop. An
+   * Runs the work of the leader or the deputy beside the status loop. An
    * iteration that has started, and its switch round, continue after another
-   * agent has become the leader; switch rounds tolerate two leaders.
+   * agent has taken the role over; switch rounds tolerate that.
    */
   async function runLeaderLoop(): Promise<void> {
     while (!signal.aborted) {
       const status = peers.getOwn();
       const spec = options.getSpec();
-      if (isLeading && status !== undefined && spec !== undefined) {
-        await getRebalancer(status, spec).tick(status);
+      if (status !== undefined && spec !== undefined) {
+        const { tick, watchHold } = getRebalancer(status, spec);
+        if (isLeading) await tick(status);
+        else if (peers.isDeputy()) await watchHold(status);
       }
       await delay.waitFor(scheduler, { delayMs: leaderIntervalMs, signal });
     }
@@ -268,6 +271,7 @@
   void runLeaderLoop();
   return {
     handleMessage(message, from) {
+      if (message.kind !== "status") peers.recordMessage(from);
       switch (message.kind) {
         case "status":
           return peers.record(message.status, from);
--- a/packages/anvilhinge/src/agent/ranks/rank_peers.ts
+++ b/packages/anvilhinge/src/agent/ranks/rank_peers.ts
@@ -1,7 +1,10 @@
 /**
- * The agents of one group as seen by one of them, and the choice of the leader:
- * the lowest rank that may lead and whose status arrived recently. Two agents
- * may lead at once; switch rounds tolerate that.
+ * The agents of one group as seen by one of them. The leader, which switches
+ * maps, is the lowest rank that may lead and was seen recently. The deputy, which
+ * ends abandoned holds, is the lowest rank that may lead and is live: as a hold
+ * stops the whole group, the deputy changes after a much shorter silence. Two
+ * agents may act at once; switch rounds tolerate that, but rounds of two agents
+ * rarely complete a switch.
  */
 import type * as clock from "@anvilhinge/coordination/clock";
 
@@ -39,6 +42,8 @@
   getOwn(): RankStatus | undefined;
   /** Records a status of an agent of any group. */
   record(status: RankStatus, address: string): void;
+  /** Records that a message other than a status arrived from an agent. */
+  recordMessage(address: string): void;
   /** Returns the group of the agent at an address; undefined if unknown. */
   findGroup(address: string): string | undefined;
   /** Lists the live agents of this agent's group, sorted by rank. */
@@ -55,18 +60,21 @@
   isCandidate(): boolean;
   /** Whether this agent is the leader in its own view of the group. */
   isLeading(): boolean;
+  /** Whether this agent is the deputy in its own view of the group. */
+  isDeputy(): boolean;
 }
 
 export interface RankPeersOptions {
   readonly clock: clock.Clock;
   /**
-   * Timeout after which a candidate is considered failed, in milliseconds: four
-   * of its status messages. Replacing a leader too early does no harm.
+   * Silence after which a candidate isn't live, in milliseconds: four of its
+   * status messages.
    * @default 450
    */
   readonly candidateTimeoutMs?: number;
   /**
-   * Timeout of the other peers, which send their status less often.
+   * Silence after which any peer isn't seen recently, in milliseconds: three of
+   * the status messages of a rank that is no candidate.
    * @default 3000
    */
   readonly peerTimeoutMs?: number;
@@ -129,6 +137,15 @@
     return recent.filter((peer) => isLiveAmong(peer, recent));
   }
 
+  /** Whether this agent may lead and none of the lower ranks may. */
+  function isLowestAmong(others: readonly RankPeer[]): boolean {
+    const ownStatus = own;
+    if (ownStatus === undefined || !ownStatus.canLead) return false;
+    return others.every(({ status }) =>
+      status.rank >= ownStatus.rank || !status.canLead
+    );
+  }
+
   return {
     setOwn(status) {
       own = status;
@@ -138,6 +155,11 @@
       const lastSeenAtMs = options.clock.now();
       peers.set(address, { address, status, lastSeenAtMs });
     },
+    recordMessage(address) {
+      const peer = peers.get(address);
+      if (peer === undefined) return;
+      peers.set(address, { ...peer, lastSeenAtMs: options.clock.now() });
+    },
     findGroup: (address) => peers.get(address)?.status.group,
     listLive,
     listRecent,
@@ -152,12 +174,7 @@
     },
     isCandidate: () =>
       own !== undefined && isCandidateRank(own.rank, listRecent()),
-    isLeading() {
-      const ownStatus = own;
-      if (ownStatus === undefined || !ownStatus.canLead) return false;
-      return listLive().every(({ status }) =>
-        status.rank >= ownStatus.rank || !status.canLead
-      );
-    },
+    isLeading: () => isLowestAmong(listRecent()),
+    isDeputy: () => isLowestAmong(listLive()),
   };
 }
--- a/packages/anvilhinge/src/agent/ranks/rank_rpc.ts
+++ b/packages/anvilhinge/src/agent/ranks/rank_rpc.ts
@@ -22,13 +22,21 @@
     readonly epoch: number;
   };
 
+interface ReportAnswer {
+  readonly kind: "report";
+  readonly report: rankEngine.RankReport;
+  /** Pass whose hold a round of the rank's agent uses; set by the agent. */
+  readonly roundStep?: number;
+}
+
+interface ExpertsAnswer extends Omit<ReportAnswer, "kind"> {
+  readonly kind: "experts";
+  readonly experts: rankEngine.HeldExperts;
+}
+
 export type RankAnswer =
-  | { readonly kind: "report"; readonly report: rankEngine.RankReport }
-  | {
-    readonly kind: "experts";
-    readonly report: rankEngine.RankReport;
-    readonly experts: rankEngine.HeldExperts;
-  }
+  | ReportAnswer
+  | ExpertsAnswer
   | { readonly kind: "order"; readonly outcome: rankOrders.OrderOutcome }
   /** The engine did not answer. */
   | { readonly kind: "silent" };
@@ -63,6 +71,8 @@
   readonly sockets: datagrams.Datagrams;
   /** Makes the ids of this process's calls unique. */
   readonly incarnation: string;
+  /** Returns the pass whose hold a round of this agent uses. */
+  readonly getRoundStep: () => number | undefined;
   /** Called at the end of each call to another agent. */
   readonly onCallEnd: (call: callStats.EndedCall) => void;
 }
@@ -155,8 +165,12 @@
   const executedCalls = new Map<string, ExecutedCall>();
   let callCount = 0;
 
-  const execute = (call: RankCall): Promise<RankAnswer> =>
-    executeCall(call, { engine, scheduler });
+  async function execute(call: RankCall): Promise<RankAnswer> {
+    const answer = await executeCall(call, { engine, scheduler });
+    return answer.kind === "report" || answer.kind === "experts"
+      ? { ...answer, roundStep: options.getRoundStep() }
+      : answer;
+  }
 
   function keepCall(id: string): ExecutedCall {
     const executed: ExecutedCall = { answer: undefined };
--- a/packages/coordination/src/maps/switch_round.ts
+++ b/packages/coordination/src/maps/switch_round.ts
@@ -118,6 +118,8 @@
    * the round ends the hold of another leader.
    */
   getHeldStep(): number;
+  /** Pass whose hold this round placed or ends; undefined before and after. */
+  getActiveStep(): number | undefined;
   getPhase(): RoundPhase;
 }
 
@@ -140,6 +142,14 @@
   | "releasing"
   | "done";
 
+/** Phases in which no hold belongs to the round. */
+const phasesBeforeHold: readonly RoundPhase[] = [
+  "idle",
+  "preparing",
+  "locating",
+  "done",
+];
+
 /**
  * Limit on how far ahead of the current pass a leader holds a pass. With this
  * bound a restarted leader can rule out the passes that it can't have held.
@@ -457,5 +467,6 @@
     isFinished: () => phase === "done",
     getPhase: () => phase,
     getHeldStep: () => leaderRank === ownRank ? step : 0,
+    getActiveStep: () => phasesBeforeHold.includes(phase) ? undefined : step,
   };
 }
