--- a/packages/anvilhinge/src/adapters/datagrams.ts
+++ b/packages/anvilhinge/src/adapters/datagrams.ts
@@ -19,7 +19,7 @@
 
 export interface Datagrams {
   /** Sends a message without confirmation of its delivery. */
-  send(message: unknown, address: string): void;
+  send(message: object, address: string): void;
 }
 
 /** Length from which a message is compressed, in bytes. */
@@ -29,10 +29,23 @@
 /** Limit on the length of a message after decompression, in bytes. */
 const maxMessageBytes = 4 * 1024 * 1024;
 
-/** Encodes a message as one datagram. */
-export function encodeMessage(message: unknown): Buffer {
+/** Datagrams of the messages that are still referenced. */
+const encodedMessages = new WeakMap<object, Buffer>();
+
+/**
+ * Encodes a message as one datagram. A message that is sent to several receivers
+ * is encoded once; it must not be changed afterwards.
+ */
+export function encodeMessage(message: object): Buffer {
+  const existing = encodedMessages.get(message);
+  if (existing !== undefined) return existing;
   const text = Buffer.from(JSON.stringify(message));
-  if (text.byteLength < minCompressedBytes) return text;
+  const encoded = text.byteLength < minCompressedBytes ? text : compress(text);
+  encodedMessages.set(message, encoded);
+  return encoded;
+}
+
+function compress(text: Buffer): Buffer {
   const { Z_BEST_SPEED: level } = zlib.constants;
   return Buffer.concat([
     Buffer.of(compressedMarker),
--- a/packages/anvilhinge/src/agent/ranks/map_rebalancer.ts
+++ b/packages/anvilhinge/src/agent/ranks/map_rebalancer.ts
@@ -80,10 +80,11 @@
   readonly answer: string;
 }
 
-/** Expert map of the group and the states from which it was read. */
+/** Expert map that the group uses. */
 interface GroupMap {
+  readonly epoch: number;
+  readonly version: number;
   readonly layers: rankOrders.MapLayers;
-  readonly states: readonly rankOrders.RankState[];
 }
 
 const readTimeoutMs = 250;
@@ -153,6 +154,8 @@
   let enteredEpoch: number | undefined;
   let countsEpoch: number | undefined;
   let pausedUntilMs = -Infinity;
+  /** Map that the group uses or, until `switchStep`, will use. */
+  let groupMap: GroupMap | undefined;
   let loggedAtMs = -Infinity;
   /** The last round, finished or not. */
   let round: switchRound.SwitchRound | undefined;
@@ -200,6 +203,7 @@
     status: rankPeers.RankStatus,
   ): GroupMap | undefined {
     const version = snapshots.find((snapshot) => snapshot)?.experts.version;
+    if (version === undefined) return undefined;
     const isConsistent = snapshots.every((snapshot, rank) =>
       snapshot === undefined ||
       (snapshot.report.state.rank === rank &&
@@ -219,22 +223,61 @@
       ).filter((expert) => !reported.has(expert));
       return lists.map((list) => list ?? missing);
     });
-    const states = snapshots.flatMap((snapshot) =>
-      snapshot?.report.state ?? []
+    return { epoch: status.epoch, version, layers };
+  }
+
+  /** Returns the map that the group uses; undefined if it can't be read. */
+  async function findGroupMap(
+    status: rankPeers.RankStatus,
+  ): Promise<GroupMap | undefined> {
+    const isKnown = groupMap?.epoch === status.epoch &&
+      groupMap.version === status.mapVersion;
+    if (isKnown) return groupMap;
+    const snapshots = await collectSnapshots(status, {
+      timeoutMs: readTimeoutMs,
+      route: "agent",
+    });
+    groupMap = listSilentRanks(snapshots).length === 0
+      ? mergeMap(snapshots, status)
+      : undefined;
+    return groupMap;
+  }
+
+  /** Reads the states of all ranks; undefined unless all ranks answer. */
+  async function readStates(
+    status: rankPeers.RankStatus,
+  ): Promise<readonly rankOrders.RankState[] | undefined> {
+    const answers = await Promise.all(
+      Array.from(
+        { length: status.size },
+        (_, rank) =>
+          options.callRank(rank, { kind: "report" }, {
+            timeoutMs: readTimeoutMs,
+            route: "agent",
+          }),
+      ),
     );
-    return { layers, states };
+    const states = answers.flatMap((answer) =>
+      answer?.kind === "report" ? answer.report.state : []
+    );
+    return states.length === status.size ? states : undefined;
   }
 
   function runRound(
     status: rankPeers.RankStatus,
     event: switchRound.RoundEvent,
-    /** Rank that is expected not to answer; its first read times out early. */
-    silentRank?: number,
+    { baseMap, silentRank }: {
+      readonly baseMap: GroupMap;
+      /** Expected not to answer; its first read times out early. */
+      readonly silentRank?: number;
+    },
   ): Promise<RoundResult> {
     const phaseMs: Partial<Record<switchRound.RoundPhase, number>> = {};
     let expectedSilentRank = silentRank;
     let phaseSinceMs = scheduler.now();
     let slowest: SlowestCall | undefined;
+    /** One call for each order, so that it is encoded once for all ranks. */
+    const orderCalls = new Map<rankOrders.RankOrder, rankRpc.RankCall>();
     options.takeCallSummary();
     options.takeLoopDelayMs();
     round = switchRound.createSwitchRound({
@@ -261,6 +304,17 @@
         for (const effect of effects) void execute(effect);
       }
 
+      function getCall(
+        effect: Exclude<switchRound.RoundEffect, { readonly kind: "finish" }>,
+      ): rankRpc.RankCall {
+        if (effect.kind === "read") return { kind: "report" };
+        const { order } = effect;
+        const call = orderCalls.get(order) ??
+          { kind: "order", order, epoch: status.epoch };
+        orderCalls.set(order, call);
+        return call;
+      }
+
       async function execute(effect: switchRound.RoundEffect): Promise<void> {
         if (effect.kind === "finish") {
           return resolve({
@@ -278,10 +332,8 @@
         const phase = currentRound.getPhase();
         const answer = await options.callRank(
           rank,
-          effect.kind === "read"
-            ? { kind: "report" }
-            : { kind: "order", order: effect.order, epoch: status.epoch },
-          chooseRoute(effect, phase, isExpectedSilent),
+          getCall(effect),
+          { ...chooseRoute(effect, phase, isExpectedSilent), baseMap },
         );
         const tookMs = Math.round(scheduler.now() - startedAtMs);
         if (tookMs > (slowest?.tookMs ?? 0)) {
@@ -338,7 +390,7 @@
       heldRank: rank,
       heldStep,
       currentLayers: map.layers,
-    }, silentRank);
+    }, { baseMap: map, silentRank });
     logger.info("Round to end an abandoned hold finished", {
       ...details,
       ...result,
@@ -353,6 +405,7 @@
       readonly allowedSkew: number;
     },
   ): Promise<void> {
+    const startedAtMs = scheduler.now();
     const plan = planFewestCopies(
       map,
       popularity,
@@ -370,20 +423,30 @@
       });
       return;
     }
-    const startedAtMs = scheduler.now();
+    const states = await readStates(status);
+    if (states === undefined) {
+      pausedUntilMs = scheduler.now() + retryDelayMs;
+      return;
+    }
     const result = await runRound(status, {
       kind: "start",
       layers: plan.map.layers,
       currentLayers: map.layers,
-      states: map.states,
-    });
+      states,
+    }, { baseMap: map });
     const { outcome, phaseMs } = result;
     const isSwitched = outcome.kind === "switched";
     const { holding = 0, opening = 0, arming = 0 } = phaseMs;
     const spentMs = holding + opening + arming;
     armingMs = Math.max(spentMs, armingDecayFactor * armingMs);
-    if (isSwitched) switchStep = outcome.step;
-    else pausedUntilMs = scheduler.now() + retryDelayMs;
+    if (isSwitched) {
+      const { version, step } = outcome;
+      switchStep = step;
+      groupMap = { epoch: status.epoch, version, ...plan.map };
+    } else {
+      groupMap = undefined;
+      pausedUntilMs = scheduler.now() + retryDelayMs;
+    }
     logger.info(isSwitched ? "Switched the map" : "Map switch aborted", {
       group: status.group,
       epoch: status.epoch,
@@ -469,6 +532,16 @@
     if (scheduler.now() >= pausedUntilMs) await endHold(status);
   }
 
+  /** Returns the fraction of the ranks' slots that are in use. */
+  function computeOccupancy(status: rankPeers.RankStatus): number {
+    const statuses = [
+      status,
+      ...options.listPeers().map((peer) => peer.status),
+    ];
+    const running = statuses.reduce((sum, { running }) => sum + running, 0);
+    return Math.min(1, running / Math.max(1, options.slots * statuses.length));
+  }
+
   /** Logs the duration of the passes and what may prolong them. */
   function writePassLog(status: rankPeers.RankStatus): void {
     const nowMs = scheduler.now();
@@ -510,22 +583,12 @@
         scheduler.now() >= pausedUntilMs;
       if (isStalledOrHeld(status)) return await endHoldUnlessPaused(status);
       if (popularity === undefined || !isDue) return;
-      const snapshots = await collectSnapshots(status, {
-        timeoutMs: readTimeoutMs,
-        route: "agent",
-      });
-      const answered = snapshots.flatMap((snapshot) => snapshot ?? []);
-      const map = answered.length === status.size
-        ? mergeMap(snapshots, status)
-        : undefined;
-      const isFree = map?.states.every(({ heldStep }) =>
-        heldStep === undefined
-      );
-      if (map === undefined || !isFree) {
+      const map = await findGroupMap(status);
+      if (map === undefined) {
         pausedUntilMs = scheduler.now() + retryDelayMs;
         return;
       }
-      const occupancy = computeOccupancy(answered, options.slots);
+      const occupancy = computeOccupancy(status);
       const allowedSkew = idleSkewThreshold +
         occupancy * (busySkewThreshold - idleSkewThreshold);
       const { shares } = popularity;
@@ -623,18 +686,6 @@
   return answer.kind === "order" ? answer.outcome.kind : answer.kind;
 }
 
-/** Returns the fraction of the ranks' slots that are in use. */
-function computeOccupancy(
-  answered: readonly RankSnapshot[],
-  slots: number,
-): number {
-  const running = answered.reduce(
-    (sum, { report }) => sum + report.running,
-    0,
-  );
-  return Math.min(1, running / Math.max(1, slots * answered.length));
-}
-
 function trimDecimals(value: number): number {
   return Math.round(value * 100) / 100;
 }
--- a/packages/anvilhinge/src/agent/ranks/rank_agent.ts
+++ b/packages/anvilhinge/src/agent/ranks/rank_agent.ts
@@ -44,6 +44,8 @@
   /** Opens the engine beside another agent. */
   readonly openEngine: (address: string) => rankEngine.RankEngine;
   readonly sockets: datagrams.Datagrams;
+  /** Returns the length of a message as a datagram, in bytes. */
+  readonly measureMessage: (message: object) => number;
   readonly scheduler: scheduler.Scheduler;
   readonly logger: logger.Logger;
   /** Distinguishes this process from earlier ones of the same rank. */
@@ -70,10 +72,11 @@
 
 /** Interval between reads of the local engine; one tick of the status loop. */
 const statusIntervalMs = 100;
-/** Ticks between status messages of a rank that may lead next. */
-const candidateStatusTicks = 1;
-/** Ticks between status messages of any other rank. */
-const otherStatusTicks = 10;
+/**
+ * Ticks between status messages to the agents of the group. Candidates send their
+ * status to each other in every tick.
+ */
+const groupStatusTicks = 10;
 /**
  * Ticks between status messages to agents of other groups, which need them only
  * to notice that the groups were formed anew.
@@ -114,6 +117,7 @@
     engine,
     scheduler,
     sockets,
+    measureMessage: options.measureMessage,
     incarnation: options.incarnation,
     getRoundStep: () => rebalancer?.getRoundStep(),
     onCallEnd: stats.record,
@@ -141,10 +145,13 @@
 
   function sendStatus(status: rankPeers.RankStatus): void {
     const message: StatusMessage = { kind: "status", status };
-    const intervalTicks = peers.isCandidate()
-      ? candidateStatusTicks
-      : otherStatusTicks;
-    if (tickCount % intervalTicks !== 0) return;
+    const hasJoined = peers.listRecent().length > 0;
+    if (hasJoined && tickCount % groupStatusTicks !== 0) {
+      for (const { address } of peers.listCandidates()) {
+        sockets.send(message, address);
+      }
+      return;
+    }
     const live = peers.listLive().map(({ address }) => address);
     const isForAllGroups = tickCount % otherGroupStatusTicks === 0;
     for (const address of new Set([...options.listAddresses(), ...live])) {
@@ -173,6 +180,8 @@
       canLead: state.isOpen && options.getSpec() !== undefined,
       heldStep: state.heldStep,
       step: state.step,
+      mapVersion: state.mapVersion,
+      running: report.running,
       stalledMs: stalls.observe({
         atMs: scheduler.now(),
         epoch: state.epoch,
@@ -278,11 +287,11 @@
         case "call":
           return calls.handleCall(message, from);
         case "received":
-          return calls.handleReceived(message);
+          return calls.handleReceived(message, from);
         case "poll":
           return calls.handlePoll(message, from);
         case "answer":
-          return calls.handleAnswer(message);
+          return calls.handleAnswer(message, from);
       }
     },
   };
--- a/packages/anvilhinge/src/agent/ranks/rank_call_router.ts
+++ b/packages/anvilhinge/src/agent/ranks/rank_call_router.ts
@@ -5,6 +5,7 @@
  */
 import type * as rankEngine from "../../ports/rank_engine.ts";
 import type * as scheduler from "../../ports/scheduler.ts";
+import type * as mapCalls from "./map_calls.ts";
 import * as rankRpc from "./rank_rpc.ts";
 import type * as rankPeers from "./rank_peers.ts";
 
@@ -22,6 +23,8 @@
    */
   readonly timeoutMs: number;
   readonly route: CallRoute;
+  /** Map in use, which shortens calls that contain a map. */
+  readonly baseMap?: mapCalls.BaseMap;
 }
 
 /**
@@ -72,8 +75,9 @@
   function sendToAgentOrEngine(
     peer: rankPeers.RankPeer,
     call: rankRpc.RankCall,
-    timeoutMs: number,
+    sendOptions: rankRpc.SendOptions,
   ): Promise<rankRpc.RankAnswer | undefined> {
+    const { timeoutMs } = sendOptions;
     return new Promise((resolve) => {
       const abort = new AbortController();
       const { signal } = abort;
@@ -85,7 +89,7 @@
         // The agent may execute the order too: repeated orders are harmless.
         void sendToEngine(peer, call).then(finish);
       }
-      void calls.call(peer.address, call, { timeoutMs }).then((answer) => {
+      void calls.call(peer.address, call, sendOptions).then((answer) => {
         if (answer !== undefined) finish(answer);
       });
       const delayMs = peers.isLive(peer) ? agentAnswerTimeoutMs : 0;
@@ -97,17 +101,17 @@
     });
   }
 
-  return async (rank, call, { timeoutMs, route }) => {
+  return async (rank, call, { timeoutMs, route, baseMap }) => {
     if (rank === peers.getOwn()?.rank) return await calls.execute(call);
     const peer = peers.findLastSeen(rank);
     if (peer === undefined) return undefined;
     switch (route) {
       case "agent":
         return peers.isRecent(peer)
-          ? await calls.call(peer.address, call, { timeoutMs })
+          ? await calls.call(peer.address, call, { timeoutMs, baseMap })
           : undefined;
       case "either":
-        return await sendToAgentOrEngine(peer, call, timeoutMs);
+        return await sendToAgentOrEngine(peer, call, { timeoutMs, baseMap });
       case "engine":
         return await sendToEngine(peer, call);
     }
--- a/packages/anvilhinge/src/agent/ranks/rank_peers.ts
+++ b/packages/anvilhinge/src/agent/ranks/rank_peers.ts
@@ -23,6 +23,10 @@
   readonly heldStep: number | undefined;
   /** Last pass that began. */
   readonly step: number;
+  /** Version of the map in use. */
+  readonly mapVersion: number;
+  /** Number of requests that are running at the rank. */
+  readonly running: number;
   /** Time since the last pass began, in milliseconds; 0 without requests. */
   readonly stalledMs: number;
   /** Time for a unit of work relative to a sound rank; above 1 = slow. */
@@ -56,8 +60,11 @@
   isRecent(peer: RankPeer): boolean;
   /** Returns the agent last seen at a rank in this epoch, live or not. */
   findLastSeen(rank: number): RankPeer | undefined;
-  /** Whether this rank may lead next and therefore sends its status often. */
-  isCandidate(): boolean;
+  /**
+   * Lists the other candidates if this rank is one: the ranks that may lead next
+   * and send each other their status often.
+   */
+  listCandidates(): readonly RankPeer[];
   /** Whether this agent is the leader in its own view of the group. */
   isLeading(): boolean;
   /** Whether this agent is the deputy in its own view of the group. */
@@ -127,8 +134,11 @@
     return lowerCount < candidateCount;
   }
 
+  /** Only the candidates send their status often, and only to each other. */
   function isLiveAmong(peer: RankPeer, recent: readonly RankPeer[]): boolean {
-    return !isCandidateRank(peer.status.rank, recent) ||
+    const isOftenSeen = isCandidateRank(peer.status.rank, recent) &&
+      own !== undefined && isCandidateRank(own.rank, recent);
+    return !isOftenSeen ||
       options.clock.now() - peer.lastSeenAtMs < candidateTimeoutMs;
   }
 
@@ -172,8 +182,13 @@
       );
       return selectLastSeen(ofRank)[0];
     },
-    isCandidate: () =>
-      own !== undefined && isCandidateRank(own.rank, listRecent()),
+    listCandidates() {
+      const recent = listRecent();
+      if (own === undefined || !isCandidateRank(own.rank, recent)) return [];
+      return recent.filter(({ status }) =>
+        isCandidateRank(status.rank, recent)
+      );
+    },
     isLeading: () => isLowestAmong(listRecent()),
     isDeputy: () => isLowestAmong(listLive()),
   };
--- a/packages/anvilhinge/src/agent/ranks/rank_peers_test.ts
+++ b/packages/anvilhinge/src/agent/ranks/rank_peers_test.ts
@@ -12,6 +12,8 @@
     canLead: true,
     heldStep: undefined,
     step: 1,
+    mapVersion: 0,
+    running: 0,
     stalledMs: 0,
     pace: 1,
     engine: "10.0.0.1:1",
--- a/packages/anvilhinge/src/agent/routed_agent.ts
+++ b/packages/anvilhinge/src/agent/routed_agent.ts
@@ -139,6 +139,7 @@
         signal,
       }),
     sockets,
+    measureMessage: (message) => datagrams.encodeMessage(message).byteLength,
     scheduler: clock,
     logger: log,
     incarnation: nodeCrypto.randomUUID(),
--- a/packages/anvilhinge/src/testing/rank_group_harness.ts
+++ b/packages/anvilhinge/src/testing/rank_group_harness.ts
@@ -263,7 +263,7 @@
   function computeArrival(
     from: number,
     to: number,
-    message: unknown,
+    message: object,
   ): number | undefined {
     if (linkBytesPerMs === Infinity) return manual.now() + latencyMs;
     const queuedMs = Math.max(0, sendingUntilMs[from]! - manual.now());
@@ -454,6 +454,7 @@
       sockets: {
         send: (message, address) => sendDatagram(rank, message, address),
       },
+      measureMessage: (message) => datagrams.encodeMessage(message).byteLength,
       scheduler: processScheduler,
       logger: createLogger(rank),
       incarnation: `process-${rank}`,
