--- a/packages/anvilhinge/src/adapters/datagrams.ts
+++ b/packages/anvilhinge/src/adapters/datagrams.ts
@@ -40,12 +40,12 @@
   const existing = encodedMessages.get(message);
   if (existing !== undefined) return existing;
   const text = Buffer.from(JSON.stringify(message));
-  const encoded = text.byteLength < minCompressedBytes ? text : compress(text);
+  const encoded = text.byteLength < minCompressedBytes ? text : pack(text);
   encodedMessages.set(message, encoded);
   return encoded;
 }
 
-function compress(text: Buffer): Buffer {
+function pack(text: Buffer): Buffer {
   const { Z_BEST_SPEED: level } = zlib.constants;
   return Buffer.concat([
     Buffer.of(compressedMarker),
--- a/packages/anvilhinge/src/agent/ranks/map_rebalancer.ts
+++ b/packages/anvilhinge/src/agent/ranks/map_rebalancer.ts
@@ -277,7 +277,7 @@
     let phaseSinceMs = scheduler.now();
     let slowest: SlowestCall | undefined;
     /** One call for each order, so that it is encoded once for all ranks. */
-    const orderCalls = new Map<rankOrders.RankOrder, rankRpc.RankCall>();
+    const orderCalls = new Map<rankOrders.RankOrder, rankRpc.OrderCall>();
     options.takeCallSummary();
     options.takeLoopDelayMs();
     round = switchRound.createSwitchRound({
@@ -306,11 +306,11 @@
 
       function getCall(
         effect: Exclude<switchRound.RoundEffect, { readonly kind: "finish" }>,
-      ): rankRpc.RankCall {
+      ): rankCallRouter.DirectCall {
         if (effect.kind === "read") return { kind: "report" };
         const { order } = effect;
         const call = orderCalls.get(order) ??
-          { kind: "order", order, epoch: status.epoch };
+          { kind: "order" as const, order, epoch: status.epoch };
         orderCalls.set(order, call);
         return call;
       }
@@ -626,9 +626,10 @@
       ? { timeoutMs: stalledReadTimeoutMs, route: "agent" }
       : { timeoutMs: urgentReadTimeoutMs, route: "either" };
   }
-  // The hold order goes straight to the engine of another rank, so that no
-  // single machine that stops at this point can keep the hold in place.
-  const route = effect.order.kind === "hold" ? "engine" : "either";
+  // No machine that stops while it sends the hold order then keeps the hold in
+  // place: neither the leader's, which knows that no rank is armed, nor the one
+  // of the held rank is involved.
+  const route = effect.order.kind === "hold" ? "third_rank" : "either";
   return { timeoutMs: orderTimeoutMs, route };
 }
 
@@ -676,6 +677,8 @@
     case "experts":
       return { kind: "state", call, state: answer.report.state };
     case "silent":
+    // Only the router relays orders.
+    case "relayed":
     case undefined:
       return { kind: "late", call, rank };
   }
--- a/packages/anvilhinge/src/agent/ranks/order_runner.ts
+++ b/packages/anvilhinge/src/agent/ranks/order_runner.ts
@@ -5,7 +5,7 @@
 import type * as scheduler from "../../ports/scheduler.ts";
 
 export interface RunOrderOptions {
-  readonly engine: rankEngine.RankEngine;
+  readonly engine: Pick<rankEngine.RankEngine, "readReport" | "sendOrder">;
   readonly scheduler: scheduler.Scheduler;
   readonly order: rankOrders.RankOrder;
   readonly epoch: number;
--- a/packages/anvilhinge/src/agent/ranks/rank_agent.ts
+++ b/packages/anvilhinge/src/agent/ranks/rank_agent.ts
@@ -118,11 +118,12 @@
     scheduler,
     sockets,
     measureMessage: options.measureMessage,
+    relayOrder: (call) => router.relayOrder(call),
     incarnation: options.incarnation,
     getRoundStep: () => rebalancer?.getRoundStep(),
     onCallEnd: stats.record,
   });
-  const callRank = rankCallRouter.createRankCallRouter({
+  const router = rankCallRouter.createRankCallRouter({
     calls,
     peers,
     scheduler,
@@ -255,7 +256,7 @@
       slots: group.slots,
       scheduler,
       logger,
-      callRank,
+      callRank: router.callRank,
       listPeers: peers.listRecent,
       takeCallSummary: stats.takeSummary,
       takeLoopDelayMs: options.takeLoopDelayMs,
--- a/packages/anvilhinge/src/agent/ranks/rank_call_router.ts
+++ b/packages/anvilhinge/src/agent/ranks/rank_call_router.ts
@@ -14,12 +14,19 @@
   | "agent"
   /** Through the agent, and directly to the engine if the agent is silent. */
   | "either"
-  | "engine";
+  /**
+   * To the engine, from the machine of a third rank: if that machine stops, this
+   * one still knows what it has ordered since, and the rank answers its agent.
+   */
+  | "third_rank";
+
+/** A call that the engine of the rank itself can execute. */
+export type DirectCall = Exclude<rankRpc.RankCall, { readonly kind: "relay" }>;
 
 export interface CallOptions {
   /**
-   * Timeout of a call through an agent, in milliseconds. A call by the route
-   * `engine` or to the leader's own rank ends by the engine's timeouts instead.
+   * Timeout of a call through an agent, in milliseconds. A call to the leader's
+   * own rank ends by the engine's timeouts instead.
    */
   readonly timeoutMs: number;
   readonly route: CallRoute;
@@ -33,7 +40,7 @@
  */
 export type CallRank = (
   rank: number,
-  call: rankRpc.RankCall,
+  call: DirectCall,
   options: CallOptions,
 ) => Promise<rankRpc.RankAnswer | undefined>;
 
@@ -51,10 +58,15 @@
  */
 const agentAnswerTimeoutMs = 120;
 
-/** Creates the function with which a leader calls the ranks of its group. */
+export interface RankCallRouter {
+  readonly callRank: CallRank;
+  readonly relayOrder: rankRpc.RankRpcOptions["relayOrder"];
+}
+
+/** Creates the functions with which a leader calls the ranks of its group. */
 export function createRankCallRouter(
   { calls, peers, scheduler, openEngine }: RankCallRouterOptions,
-): CallRank {
+): RankCallRouter {
   const engines = new Map<string, rankEngine.RankEngine>();
 
   function getEngine(address: string): rankEngine.RankEngine {
@@ -66,7 +78,7 @@
 
   function sendToEngine(
     { status }: rankPeers.RankPeer,
-    call: rankRpc.RankCall,
+    call: DirectCall,
   ): Promise<rankRpc.RankAnswer> {
     const engine = getEngine(status.engine);
     return rankRpc.executeCall(call, { engine, scheduler });
@@ -74,7 +86,7 @@
 
   function sendToAgentOrEngine(
     peer: rankPeers.RankPeer,
-    call: rankRpc.RankCall,
+    call: DirectCall,
     sendOptions: rankRpc.SendOptions,
   ): Promise<rankRpc.RankAnswer | undefined> {
     const { timeoutMs } = sendOptions;
@@ -101,7 +113,49 @@
     });
   }
 
-  return async (rank, call, { timeoutMs, route, baseMap }) => {
+  /** Chooses a third rank to send a call; undefined in a group of two. */
+  function chooseThirdRank(rank: number): rankPeers.RankPeer | undefined {
+    const own = peers.getOwn();
+    return peers.listLive().find(({ status }) =>
+      status.rank !== rank && status.rank !== own?.rank
+    );
+  }
+
+  /**
+   * Sends an order from the machine of a third rank; undefined as soon as the
+   * agent of that rank does not answer.
+   */
+  async function sendFromThirdRank(
+    peer: rankPeers.RankPeer,
+    call: rankRpc.OrderCall,
+  ): Promise<rankRpc.RankAnswer | undefined> {
+    const { rank } = peer.status;
+    const sender = chooseThirdRank(rank);
+    if (sender === undefined) return await sendToEngine(peer, call);
+    return await new Promise((resolve) => {
+      const engine = {
+        async readReport() {
+          const answer = await calls.call(peer.address, { kind: "report" }, {
+            timeoutMs: agentAnswerTimeoutMs,
+          });
+          return answer?.kind === "report" ? answer.report : undefined;
+        },
+        async sendOrder() {
+          const relay = { ...call, kind: "relay", rank } as const;
+          const answer = await calls.call(sender.address, relay, {
+            timeoutMs: agentAnswerTimeoutMs,
+          });
+          if (answer === undefined) resolve(undefined);
+          return answer?.kind === "relayed" ? answer.reply : "unknown";
+        },
+      };
+      void rankRpc.executeOrder(call, { engine, scheduler }).then(resolve);
+    });
+  }
+
+  async function sendCall(
+    ...[rank, call, { timeoutMs, route, baseMap }]: Parameters<CallRank>
+  ): ReturnType<CallRank> {
     if (rank === peers.getOwn()?.rank) return await calls.execute(call);
     const peer = peers.findLastSeen(rank);
     if (peer === undefined) return undefined;
@@ -112,8 +166,20 @@
           : undefined;
       case "either":
         return await sendToAgentOrEngine(peer, call, { timeoutMs, baseMap });
-      case "engine":
-        return await sendToEngine(peer, call);
+      case "third_rank":
+        return call.kind === "order"
+          ? await sendFromThirdRank(peer, call)
+          : undefined;
     }
+  }
+
+  return {
+    callRank: sendCall,
+    async relayOrder({ rank, order, epoch }) {
+      const peer = peers.findLastSeen(rank);
+      return peer === undefined
+        ? "refused"
+        : await getEngine(peer.status.engine).sendOrder(order, epoch);
+    },
   };
 }
--- a/packages/anvilhinge/src/agent/ranks/rank_rpc.ts
+++ b/packages/anvilhinge/src/agent/ranks/rank_rpc.ts
@@ -15,16 +15,27 @@
 import type * as callStats from "./call_stats.ts";
 import * as mapCalls from "./map_calls.ts";
 import * as orderRunner from "./order_runner.ts";
+import * as outgoingCall from "./outgoing_call.ts";
+import * as sendWindow from "./send_window.ts";
 
 /** A call from the leader to an agent. */
 export type RankCall =
   | { readonly kind: "report" }
   | { readonly kind: "experts" }
-  | {
-    readonly kind: "order";
-    readonly order: rankOrders.RankOrder;
-    readonly epoch: number;
-  };
+  | OrderCall
+  | RelayCall;
+
+export interface OrderCall {
+  readonly kind: "order";
+  readonly order: rankOrders.RankOrder;
+  readonly epoch: number;
+}
+
+/** Send an order once, directly to the engine of another rank. */
+export interface RelayCall extends Omit<OrderCall, "kind"> {
+  readonly kind: "relay";
+  readonly rank: number;
+}
 
 interface ReportAnswer {
   readonly kind: "report";
@@ -42,6 +53,8 @@
   | ReportAnswer
   | ExpertsAnswer
   | { readonly kind: "order"; readonly outcome: rankOrders.OrderOutcome }
+  /** Answer to a relayed order. */
+  | { readonly kind: "relayed"; readonly reply: rankOrders.OrderReply }
   /** The engine did not answer. */
   | { readonly kind: "silent" };
 
@@ -66,12 +79,15 @@
 export interface AnswerMessage {
   readonly kind: "answer";
   readonly id: string;
-  readonly answer: RankAnswer | UnknownBaseAnswer;
+  readonly answer: RankAnswer | UnexecutedAnswer;
 }
 
-/** The call was not executed, because the map that it refers to is unknown. */
-export interface UnknownBaseAnswer {
-  readonly kind: "unknown_base";
+/**
+ * The call was not executed, because the agent doesn't know the call or the map
+ * to which it refers; the whole call must be sent.
+ */
+export interface UnexecutedAnswer {
+  readonly kind: "unexecuted";
 }
 
 export interface RankRpcOptions {
@@ -82,6 +98,8 @@
   readonly measureMessage: (message: object) => number;
   /** Makes the ids of this process's calls unique. */
   readonly incarnation: string;
+  /** Sends an order once, directly to the engine of another rank. */
+  readonly relayOrder: (call: RelayCall) => Promise<rankOrders.OrderReply>;
   /** Returns the pass whose hold a round of this agent uses. */
   readonly getRoundStep: () => number | undefined;
   /** Called at the end of each call to another agent. */
@@ -116,9 +134,6 @@
 const resendIntervalMs = 40;
 /** The same for a call with an expert map, which the agent confirms later. */
 const mapResendIntervalMs = 80;
-const maxResendDoublings = 3;
-/** Interval between polls for an answer, which only a loss makes necessary. */
-const pollIntervalMs = 100;
 /**
  * Limit on the bytes of calls that no agent has confirmed. Links of agents carry
  * 600 bytes in a millisecond and more, and an agent confirms within 15 ms.
@@ -131,9 +146,9 @@
 /** Answers kept to recognize retransmitted calls. */
 const maxKeptAnswers = 256;
 
-/** Executes a call at the local engine, or at a remote one for the leader. */
+/** Executes a call at the local engine or at a remote one. */
 export async function executeCall(
-  call: RankCall,
+  call: Exclude<RankCall, { readonly kind: "relay" }>,
   { engine, scheduler }: Pick<RankRpcOptions, "engine" | "scheduler">,
 ): Promise<RankAnswer> {
   switch (call.kind) {
@@ -152,34 +167,35 @@
         ? { kind: "silent" }
         : { kind: "experts", report, experts };
     }
-    case "order": {
-      const { order, epoch } = call;
-      const outcome = await orderRunner.runOrder({
-        engine,
-        scheduler,
-        order,
-        epoch,
-        timeoutMs: orderTimeoutMs,
-      });
-      return { kind: "order", outcome };
-    }
+    case "order":
+      return await executeOrder(call, { engine, scheduler });
   }
 }
 
-interface PendingCall {
-  readonly finish: (answer: RankAnswer | undefined) => void;
-  /** Called when the agent confirms the call. */
-  readonly confirm: () => void;
-  /** Sends the whole call instead of the shortened one. */
-  readonly sendWhole: () => void;
+/** Sends an order to an engine until its outcome is known. */
+export async function executeOrder(
+  { order, epoch }: OrderCall,
+  { engine, scheduler }:
+    & Pick<RankRpcOptions, "scheduler">
+    & Pick<orderRunner.RunOrderOptions, "engine">,
+): Promise<RankAnswer> {
+  const outcome = await orderRunner.runOrder({
+    engine,
+    scheduler,
+    order,
+    epoch,
+    timeoutMs: orderTimeoutMs,
+  });
+  return { kind: "order", outcome };
+}
+
+function composeUnexecuted(id: string): AnswerMessage {
+  return { kind: "answer", id, answer: { kind: "unexecuted" } };
 }
 
-/** A call that waits until enough bytes are confirmed. */
-interface DelayedSend {
-  readonly bytes: number;
-  readonly send: () => void;
-  /** Drops the call when it aborts. */
-  readonly signal: AbortSignal;
+/** The messages of a call are the same for all agents. */
+function composeKey(id: string, address: string): string {
+  return `${id}@${address}`;
 }
 
 interface ExecutedCall {
@@ -196,19 +212,21 @@
 /** Creates the client and server side of the calls of one agent. */
 export function createRankRpc(options: RankRpcOptions): RankRpc {
   const { engine, scheduler, sockets } = options;
-  /** By id and address. */
-  const pendingCalls = new Map<string, PendingCall>();
+  /** Calls without an answer, by id and address. */
+  const outgoingCalls = new Map<string, () => outgoingCall.OutgoingCall>();
   /** Calls of other agents by id, so that a repeated call does not run again. */
   const executedCalls = new Map<string, ExecutedCall>();
   const maps = mapCalls.createMapCalls();
   /** Messages of the calls that were sent, shortened or whole. */
   const shortMessages = new WeakMap<RankCall, CallMessage>();
   const wholeMessages = new WeakMap<RankCall, CallMessage>();
-  const delayedSends: DelayedSend[] = [];
-  let unconfirmedBytes = 0;
+  const window = sendWindow.createSendWindow({ maxBytes: maxUnconfirmedBytes });
   let callCount = 0;
 
   async function execute(call: RankCall): Promise<RankAnswer> {
+    if (call.kind === "relay") {
+      return { kind: "relayed", reply: await options.relayOrder(call) };
+    }
     const answer = await executeCall(call, { engine, scheduler });
     return answer.kind === "report" || answer.kind === "experts"
       ? { ...answer, roundStep: options.getRoundStep() }
@@ -232,30 +250,6 @@
     return message;
   }
 
-  /** Sends at once or as soon as earlier calls have been confirmed. */
-  function sendWithinLimit(delayed: DelayedSend): void {
-    delayedSends.push(delayed);
-    sendDelayed();
-  }
-
-  function sendDelayed(): void {
-    while (delayedSends.length > 0) {
-      const { bytes, send, signal } = delayedSends[0]!;
-      const hasRoom = unconfirmedBytes === 0 ||
-        unconfirmedBytes + bytes <= maxUnconfirmedBytes;
-      if (!signal.aborted && !hasRoom) return;
-      delayedSends.shift();
-      if (signal.aborted) continue;
-      unconfirmedBytes += bytes;
-      send();
-    }
-  }
-
-  function confirmBytes(bytes: number): void {
-    unconfirmedBytes -= bytes;
-    sendDelayed();
-  }
-
   function keepCall(id: string): ExecutedCall {
     const executed: ExecutedCall = { answer: undefined };
     executedCalls.set(id, executed);
@@ -277,8 +271,7 @@
   async function runCall({ id, call }: CallMessage, from: string) {
     const restored = maps.restore(call);
     if (restored === undefined) {
-      const answer = { kind: "unknown_base" } as const;
-      return sockets.send({ kind: "answer", id, answer }, from);
+      return sockets.send(composeUnexecuted(id), from);
     }
     const executed = keepCall(id);
     const abort = new AbortController();
@@ -293,90 +286,32 @@
 
   return {
     execute: (call) => execute(maps.restore(call) ?? call),
-    call: (address, call, sendOptions) =>
+    call: (address, call, { timeoutMs, baseMap }) =>
       new Promise((resolve) => {
-        const startedAtMs = scheduler.now();
-        const abort = new AbortController();
-        const maxResendMs = getResendIntervalMs(call) * 2 ** maxResendDoublings;
-        let message = getMessage(call, sendOptions.baseMap);
-        /** Ends the retransmissions of the message. */
-        let resends = new AbortController();
-        let resendMs = 0;
-        let sends = 0;
-        let isReceived = false;
-        /** Sent bytes that count as unconfirmed. */
-        let bytes = 0;
-
-        function confirm(): void {
-          const confirmedBytes = bytes;
-          bytes = 0;
-          if (confirmedBytes > 0) confirmBytes(confirmedBytes);
-        }
-
-        function send(): void {
-          sends += isReceived ? 0 : 1;
-          const poll: PollMessage = { kind: "poll", id: message.id };
-          sockets.send(isReceived ? poll : message, address);
-          const delayMs = isReceived ? pollIntervalMs : resendMs;
-          resendMs = Math.min(maxResendMs, 2 * resendMs);
-          scheduler.schedule(sendAgain, { delayMs, signal: resends.signal });
-        }
-
-        function sendAgain(): void {
-          // Lost or confirmed: either way the bytes have left the link.
-          confirm();
-          send();
+        let key: string | undefined;
+        function removeCall(): void {
+          if (key !== undefined) outgoingCalls.delete(key);
         }
-
-        function start(): void {
-          const { signal } = resends;
-          resendMs = getResendIntervalMs(call);
-          pendingCalls.set(`${message.id}@${address}`, pending);
-          const messageBytes = options.measureMessage(message);
-          sendWithinLimit({
-            bytes: messageBytes,
-            send() {
-              bytes = messageBytes;
-              send();
-            },
-            signal,
-          });
-        }
-
-        function stop(): void {
-          resends.abort();
-          pendingCalls.delete(`${message.id}@${address}`);
-          confirm();
-        }
-
-        const pending: PendingCall = {
-          finish,
-          confirm() {
-            isReceived = true;
-            confirm();
+        const outgoing = outgoingCall.startOutgoingCall({
+          scheduler,
+          window,
+          message: getMessage(call, baseMap),
+          getWholeMessage: () => getMessage(call, undefined),
+          resendIntervalMs: getResendIntervalMs(call),
+          timeoutMs,
+          measureMessage: options.measureMessage,
+          send: (message) => sockets.send(message, address),
+          onMessage({ id }) {
+            removeCall();
+            key = composeKey(id, address);
+            outgoingCalls.set(key, () => outgoing);
           },
-          sendWhole() {
-            stop();
-            resends = new AbortController();
-            message = getMessage(call, undefined);
-            start();
+          onEnd({ answer, ...ended }) {
+            removeCall();
+            options.onCallEnd(ended);
+            resolve(answer);
           },
-        };
-
-        function finish(answer: RankAnswer | undefined): void {
-          abort.abort();
-          stop();
-          const tookMs = scheduler.now() - startedAtMs;
-          const isAnswered = answer !== undefined;
-          options.onCallEnd({ sends, tookMs, isAnswered });
-          resolve(answer);
-        }
-
-        scheduler.schedule(() => finish(undefined), {
-          delayMs: sendOptions.timeoutMs,
-          signal: abort.signal,
         });
-        start();
       }),
     handleCall(message, from) {
       const executed = executedCalls.get(message.id);
@@ -385,16 +320,15 @@
     },
     handlePoll({ id }, from) {
       const executed = executedCalls.get(id);
+      if (executed === undefined) sockets.send(composeUnexecuted(id), from);
       // An answer that is not ready is sent once it is.
-      if (executed?.answer !== undefined) reply(id, executed, from);
+      else if (executed.answer !== undefined) reply(id, executed, from);
     },
     handleReceived({ id }, from) {
-      pendingCalls.get(`${id}@${from}`)?.confirm();
+      outgoingCalls.get(composeKey(id, from))?.().acknowledge();
     },
     handleAnswer({ id, answer }, from) {
-      const pending = pendingCalls.get(`${id}@${from}`);
-      if (answer.kind === "unknown_base") pending?.sendWhole();
-      else pending?.finish(answer);
+      outgoingCalls.get(composeKey(id, from))?.().handleAnswer(answer);
     },
   };
 }
--- a/packages/anvilhinge/src/agent/routed_agent.ts
+++ b/packages/anvilhinge/src/agent/routed_agent.ts
@@ -35,8 +35,9 @@
 const engineReadTimeoutMs = 60;
 /** Short, because lost orders are sent again and repetitions are harmless. */
 const engineOrderTimeoutMs = 30;
-/** Timeout of the engine beside another agent. */
-const remoteEngineTimeoutMs = 200;
+/** Timeouts of the engine beside another agent. */
+const remoteReadTimeoutMs = 200;
+const remoteOrderTimeoutMs = 80;
 /** Interval between reads of the object store while the view is incomplete. */
 const storeRetryIntervalMs = 1_000;
 /** Interval between reads of the list of upstreams. */
@@ -134,8 +135,8 @@
     openEngine: (address) =>
       platform.createRankEngine({
         address,
-        readTimeoutMs: remoteEngineTimeoutMs,
-        orderTimeoutMs: remoteEngineTimeoutMs,
+        readTimeoutMs: remoteReadTimeoutMs,
+        orderTimeoutMs: remoteOrderTimeoutMs,
         signal,
       }),
     sockets,
--- a/packages/coordination/src/maps/switch_round.ts
+++ b/packages/coordination/src/maps/switch_round.ts
@@ -18,7 +18,9 @@
  *   that rank stays armed unless a rank that does answer has lost V.
  * - Ranks are disarmed, and `go` is sent without a switch, only after a rank
  *   was observed to have lost V or was given a higher version. Both conditions
- *   are permanent: a lower version can't be prepared again.
+ *   are permanent: a lower version can't be prepared again. The leader that
+ *   created V may also send `go` as long as it has armed no rank, if it never
+ *   arms V afterwards.
  * - The observation that a rank has lost V counts only if the rank was read
  *   after some rank was observed to be armed with V: in an earlier read, the
  *   rank may not have prepared V yet.
@@ -396,6 +398,9 @@
       if (outcome.state.epoch !== options.epoch) return abort("Epoch changed");
       states.set(rank, outcome.state);
     }
+    if (outcome.kind === "unsettled" && phase === "holding") {
+      return withdrawHold(outcome.reason);
+    }
     if (outcome.kind !== "done") return handleFailure(outcome.reason);
     maxSendCount = Math.max(maxSendCount, outcome.sendings);
     pending.delete(rank);
@@ -409,8 +414,6 @@
       case "locating":
         return abort(`Could not read the current pass: ${reason}`);
       case "holding":
-        // A hold that takes effect late shows in the rank's report, and a later
-        // round ends it.
         return holdOrders < maxHoldOrders
           ? holdPass()
           : abort(`Could not hold the pass: ${reason}`);
@@ -427,7 +430,19 @@
     }
   }
 
+  /**
+   * Ends a hold that may have been placed. One that takes effect later shows in
+   * the rank's report, and a later round ends it.
+   */
+  function withdrawHold(reason: string): Effects {
+    return releaseHold({
+      kind: "aborted",
+      reason: `Could not hold the pass: ${reason}`,
+    });
+  }
+
   function handleTimeout(rank: number): Effects {
+    if (phase === "holding") return withdrawHold("no answer to the order");
     const isOptional = phase === "looking" && rank === leaderRank;
     if (!isOptional) return handleFailure("a rank did not answer");
     states.delete(rank);
