--- a/packages/coordination/src/maps/bounded_planner.ts
+++ b/packages/coordination/src/maps/bounded_planner.ts
@@ -6,8 +6,12 @@
  *
  * Greedy search: in each layer, the planner takes single moves while they
  * balance the ranks. A move adds a replica of an expert on another rank, in a
- * free slot or in place of a spare replica, or exchanges two experts. Layers
- * share the bound of a rank; the layer with the highest skew moves next.
+ * free slot or in place of a spare replica, exchanges two experts, or drops a
+ * replica, which copies nothing. Layers share the bound of a rank; the layer with
+ * the highest skew moves next.
+ *
+ * The load of a rank is the time that its experts take, so that a slow rank is
+ * left with few tokens: all ranks wait for it in each forward pass.
  */
 import type * as expertMap from "./expert_map.ts";
 
@@ -15,6 +19,11 @@
   readonly map: expertMap.ExpertMap;
   /** Share of a layer's tokens by layer, then by expert. */
   readonly shares: readonly (readonly number[])[];
+  /**
+   * Time for a unit of work by rank, relative to a sound rank.
+   * @default 1 for each rank
+   */
+  readonly paces?: readonly number[];
   readonly slotsPerRank: number;
   /** Maximum number of experts that one rank copies in one layer. */
   readonly maxNewPerLayer: number;
@@ -28,7 +37,10 @@
   readonly copies: number;
   /** Highest number of experts that one rank must copy. */
   readonly mostCopiesPerRank: number;
-  /** Ratio of the highest to the mean rank load, as a mean over layers. */
+  /**
+   * Ratio of the highest rank load to the load of a sound rank in an even map, as
+   * a mean over layers.
+   */
   readonly skewBefore: number;
   readonly skewAfter: number;
 }
@@ -42,7 +54,10 @@
  * gains are noise of the counts.
  */
 const minRelativeGain = 0.01;
-/** Number of least loaded ranks that are considered as targets of a move. */
+/**
+ * Number of least loaded ranks that are considered as targets of a move, among
+ * those that may still copy experts.
+ */
 const maxTargetRanks = 8;
 
 interface Layer {
@@ -50,6 +65,7 @@
   /** Ranks that hold each expert. */
   readonly holders: number[][];
   readonly shares: readonly number[];
+  readonly paces: readonly number[];
   readonly loads: number[];
   /** Experts in the original map, by rank. */
   readonly originalExperts: readonly ReadonlySet<number>[];
@@ -58,23 +74,39 @@
   isConverged: boolean;
 }
 
-interface Move {
+type Move = AddMove | ExchangeMove | DropMove;
+
+interface AddMove {
+  readonly kind: "add";
   readonly expert: number;
-  /** Rank that gives the expert away; undefined when a replica is added. */
-  readonly from: number | undefined;
   readonly to: number;
-  /** Expert replaced at `to`; moves to `from` in an exchange. */
+  /** Expert replaced at `to`. */
   readonly removed: number | undefined;
 }
 
+interface ExchangeMove extends Omit<AddMove, "kind"> {
+  readonly kind: "exchange";
+  readonly from: number;
+  /** Moves from `to` to `from`. */
+  readonly removed: number;
+}
+
+interface DropMove {
+  readonly kind: "drop";
+  readonly expert: number;
+  readonly from: number;
+}
+
 function createLayer(
   ranks: readonly (readonly number[])[],
   shares: readonly number[],
+  paces: readonly number[] = ranks.map(() => 1),
 ): Layer {
   const layer: Layer = {
     ranks: ranks.map((experts) => [...experts]),
     holders: shares.map(() => []),
     shares,
+    paces,
     loads: ranks.map(() => 0),
     originalExperts: ranks.map((experts) => new Set(experts)),
     copies: ranks.map(() => 0),
@@ -92,7 +124,7 @@
   for (const expert of layer.ranks[rank]!) {
     load += layer.shares[expert]! / layer.holders[expert]!.length;
   }
-  layer.loads[rank] = load;
+  layer.loads[rank] = load * layer.paces[rank]!;
 }
 
 function computeSkew({ loads, shares }: Layer): number {
@@ -107,22 +139,34 @@
 
 /** Applies a move to the placement; returns the ranks whose load changed. */
 function applyMove(layer: Layer, move: Move): readonly number[] {
-  const { expert, from, to, removed } = move;
-  const changedRanks = new Set([...layer.holders[expert]!, to]);
-  if (removed !== undefined) {
-    for (const rank of layer.holders[removed]!) changedRanks.add(rank);
-    replaceExpert(layer, { rank: to, removed, added: expert });
-    if (from !== undefined) {
-      replaceExpert(layer, { rank: from, removed: expert, added: removed });
-    }
+  const changedRanks = new Set(layer.holders[move.expert]!);
+  if (move.kind === "drop") {
+    removeValue(layer.ranks[move.from]!, move.expert);
+    removeValue(layer.holders[move.expert]!, move.from);
   } else {
-    layer.ranks[to]!.push(expert);
-    layer.holders[expert]!.push(to);
+    const { expert, to, removed } = move;
+    changedRanks.add(to);
+    if (removed === undefined) {
+      layer.ranks[to]!.push(expert);
+      layer.holders[expert]!.push(to);
+    } else {
+      for (const rank of layer.holders[removed]!) changedRanks.add(rank);
+      replaceExpert(layer, { rank: to, removed, added: expert });
+    }
+    if (move.kind === "exchange") {
+      const { from } = move;
+      const added = move.removed;
+      replaceExpert(layer, { rank: from, removed: expert, added });
+    }
   }
   for (const rank of changedRanks) updateLoad(layer, rank);
   return [...changedRanks];
 }
 
+function removeValue(values: number[], value: number): void {
+  values.splice(values.indexOf(value), 1);
+}
+
 function replaceExpert(
   layer: Layer,
   { rank, removed, added }: {
@@ -133,22 +177,26 @@
 ): void {
   const experts = layer.ranks[rank]!;
   experts[experts.indexOf(removed)] = added;
-  const holders = layer.holders[removed]!;
-  holders.splice(holders.indexOf(rank), 1);
+  removeValue(layer.holders[removed]!, rank);
   layer.holders[added]!.push(rank);
 }
 
 /** Undoes a move; the caller restores the loads. */
 function restorePlacement(layer: Layer, move: Move): void {
-  const { expert, from, to, removed } = move;
+  const { expert } = move;
+  if (move.kind === "drop") {
+    layer.ranks[move.from]!.push(expert);
+    layer.holders[expert]!.push(move.from);
+    return;
+  }
+  const { to, removed } = move;
   if (removed === undefined) {
     layer.ranks[to]!.pop();
-    const holders = layer.holders[expert]!;
-    holders.splice(holders.indexOf(to), 1);
+    removeValue(layer.holders[expert]!, to);
     return;
   }
-  if (from !== undefined) {
-    replaceExpert(layer, { rank: from, removed, added: expert });
+  if (move.kind === "exchange") {
+    replaceExpert(layer, { rank: move.from, removed, added: expert });
   }
   replaceExpert(layer, { rank: to, removed: expert, added: removed });
 }
@@ -171,6 +219,18 @@
     savedCopies;
 }
 
+/** Lists the ranks whose experts a move changes. */
+function listRanks(move: Move): readonly number[] {
+  switch (move.kind) {
+    case "add":
+      return [move.to];
+    case "exchange":
+      return [move.to, move.from];
+    case "drop":
+      return [move.from];
+  }
+}
+
 class Planner {
   readonly #options: BoundedPlanOptions;
   readonly #layers: readonly Layer[];
@@ -179,7 +239,7 @@
   constructor(options: BoundedPlanOptions) {
     this.#options = options;
     this.#layers = options.map.layers.map((ranks, index) =>
-      createLayer(ranks, options.shares[index]!)
+      createLayer(ranks, options.shares[index]!, options.paces)
     );
     this.#copiesByRank = (options.map.layers[0] ?? []).map(() => 0);
   }
@@ -200,12 +260,18 @@
   }
 
   *#listMoves(layer: Layer, sourceRank: number): Generator<Move> {
+    const { maxNewPerRank } = this.#options;
     const targetRanks = layer.loads.map((_, rank) => rank)
-      .filter((rank) => rank !== sourceRank)
+      .filter((rank) =>
+        rank !== sourceRank && this.#copiesByRank[rank]! < maxNewPerRank
+      )
       .sort((a, b) => layer.loads[a]! - layer.loads[b]!)
       .slice(0, maxTargetRanks);
     const sourceExperts = [...layer.ranks[sourceRank]!];
     for (const expert of sourceExperts) {
+      if (layer.holders[expert]!.length > 1) {
+        yield { kind: "drop", expert, from: sourceRank };
+      }
       for (const to of targetRanks) {
         if (layer.ranks[to]!.includes(expert)) continue;
         yield* this.#listMovesTo(layer, { expert, to, sourceRank });
@@ -225,14 +291,14 @@
     if (targetExperts.length < this.#options.slotsPerRank) {
       const change = { rank: to, added: expert, removed: undefined };
       if (this.#isWithinBounds(layer, change)) {
-        yield { expert, from: undefined, to, removed: undefined };
+        yield { kind: "add", expert, to, removed: undefined };
       }
     }
     for (const removed of targetExperts) {
       const change = { rank: to, added: expert, removed };
       if (!this.#isWithinBounds(layer, change)) continue;
       if (layer.holders[removed]!.length > 1) {
-        yield { expert, from: undefined, to, removed };
+        yield { kind: "add", expert, to, removed };
       }
       const sourceChange = {
         rank: sourceRank,
@@ -241,13 +307,15 @@
       };
       const canExchange = !layer.ranks[sourceRank]!.includes(removed) &&
         this.#isWithinBounds(layer, sourceChange);
-      if (canExchange) yield { expert, from: sourceRank, to, removed };
+      if (canExchange) {
+        yield { kind: "exchange", expert, from: sourceRank, to, removed };
+      }
     }
   }
 
   /**
    * Computes by how much a move lowers the cost of the loads, per added expert;
-   * an exchange adds two.
+   * an exchange adds two. A move that adds none counts as one.
    */
   #computeGain(layer: Layer, move: Move): number {
     const loadsBefore = [...layer.loads];
@@ -259,12 +327,12 @@
     }
     restorePlacement(layer, move);
     for (const rank of changedRanks) layer.loads[rank] = loadsBefore[rank]!;
-    return move.from === undefined ? gain : gain / 2;
+    return move.kind === "exchange" ? gain / 2 : gain;
   }
 
   #takeMove(layer: Layer, move: Move): void {
-    const ranks = move.from === undefined ? [move.to] : [move.to, move.from];
     applyMove(layer, move);
+    const ranks = listRanks(move);
     for (const rank of ranks) {
       const copies = layer.ranks[rank]!.filter((expert) =>
         !layer.originalExperts[rank]!.has(expert)
@@ -324,11 +392,16 @@
   return new Planner(options).plan();
 }
 
-/** Returns the skew of a map under the given shares, as a mean over layers. */
+/**
+ * Returns the skew of a map under the given shares and paces, as a mean over
+ * layers.
+ */
 export function measureSkew(
-  { map, shares }: Pick<BoundedPlanOptions, "map" | "shares">,
+  { map, shares, paces }: Pick<BoundedPlanOptions, "map" | "shares" | "paces">,
 ): number {
   return computeMeanSkew(
-    map.layers.map((ranks, index) => createLayer(ranks, shares[index] ?? [])),
+    map.layers.map((ranks, index) =>
+      createLayer(ranks, shares[index] ?? [], paces)
+    ),
   );
 }
--- a/packages/coordination/src/maps/bounded_planner_test.ts
+++ b/packages/coordination/src/maps/bounded_planner_test.ts
@@ -122,3 +122,32 @@
   expect(plan.mostCopiesPerRank).toBeLessThanOrEqual(3);
   expect(plan.skewAfter).toBeLessThan(plan.skewBefore / 2);
 });
+
+test("a plan takes most of the load off a slow rank and keeps all experts", () => {
+  const large: expertMap.GroupShape = {
+    layerCount: 12,
+    expertCount: 144,
+    slotsPerRank: 3,
+    failureDomains: Array.from({ length: 72 }, () => "a"),
+  };
+  const even = Array.from(
+    { length: large.layerCount },
+    () => Array.from({ length: large.expertCount }, () => 1 / 144),
+  );
+  const paces = large.failureDomains.map((_, rank) => rank === 29 ? 4.2 : 1);
+  const map = expertMap.createEvenMap(large);
+  const plan = boundedPlanner.planBounded({
+    map,
+    shares: even,
+    paces,
+    slotsPerRank: 3,
+    maxNewPerLayer: 2,
+    maxNewPerRank: 2,
+  });
+  expect(plan.skewBefore).toBeCloseTo(4.2, 1);
+  expect(plan.skewAfter).toBeLessThan(1.3);
+  for (const ranks of plan.map.layers) {
+    expect(new Set(ranks.flat()).size).toBe(large.expertCount);
+  }
+  expect(Math.max(...countCopies(map, plan.map).flat())).toBeLessThanOrEqual(2);
+});
