--- a/packages/anvilhinge/src/agent/ranks/map_rebalancer.ts
+++ b/packages/anvilhinge/src/agent/ranks/map_rebalancer.ts
@@ -406,11 +406,16 @@
     },
   ): Promise<void> {
     const startedAtMs = scheduler.now();
-    const plan = planFewestCopies(
+    const plan = boundedPlanner.planBounded({
       map,
-      popularity,
-      allowedSkew - targetSkewMargin,
-    );
+      shares: popularity.shares,
+      paces: listPaces(status),
+      slotsPerRank: experts.slotsPerRank,
+      // Each set of the settings is one layer of the map.
+      maxNewPerLayer: experts.maxNewPerRank,
+      maxNewPerRank: options.maxCopiesPerRank,
+      targetSkew: allowedSkew - targetSkewMargin,
+    });
     const { skewBefore, skewAfter, copies } = plan;
     const excessReduction = (skewBefore - skewAfter) /
       Math.max(1e-9, skewBefore - 1);
@@ -458,25 +463,19 @@
     });
   }
 
-  /** Plans with the fewest copies per rank that reach the target skew. */
-  function planFewestCopies(
-    map: GroupMap,
-    { shares }: countsWindow.PopularityEstimate,
-    targetSkew: number,
-  ): boundedPlanner.BoundedPlan {
-    for (let copies = 1;; copies += 1) {
-      const plan = boundedPlanner.planBounded({
-        map: { layers: map.layers },
-        shares,
-        slotsPerRank: experts.slotsPerRank,
-        // Each set of the settings is one layer of the map.
-        maxNewPerLayer: experts.maxNewPerRank,
-        maxNewPerRank: copies,
-      });
-      const isSufficient = plan.skewAfter <= targetSkew ||
-        copies >= options.maxCopiesPerRank;
-      if (isSufficient) return plan;
+  /** Lists the paces of all ranks; a rank that was not seen counts as sound. */
+  function listPaces(status: rankPeers.RankStatus): readonly number[] {
+    const paces = Array.from({ length: status.size }, () => 1);
+    for (const { rank, pace } of listStatuses(status)) {
+      if (pace > slowPace) paces[rank] = pace;
     }
+    return paces;
+  }
+
+  function listStatuses(
+    status: rankPeers.RankStatus,
+  ): readonly rankPeers.RankStatus[] {
+    return [status, ...options.listPeers().map((peer) => peer.status)];
   }
 
   /**
@@ -534,10 +533,7 @@
 
   /** Returns the fraction of the ranks' slots that are in use. */
   function computeOccupancy(status: rankPeers.RankStatus): number {
-    const statuses = [
-      status,
-      ...options.listPeers().map((peer) => peer.status),
-    ];
+    const statuses = listStatuses(status);
     const running = statuses.reduce((sum, { running }) => sum + running, 0);
     return Math.min(1, running / Math.max(1, options.slots * statuses.length));
   }
@@ -553,7 +549,7 @@
       step: status.step,
       passMs: Math.round(passMs),
       stalledMs: Math.round(status.stalledMs),
-      slowRanks: [status, ...options.listPeers().map((peer) => peer.status)]
+      slowRanks: listStatuses(status)
         .filter(({ pace }) => pace > slowPace)
         .map(({ rank, pace }) => ({ rank, pace: trimDecimals(pace) })),
     });
@@ -592,7 +588,8 @@
       const allowedSkew = idleSkewThreshold +
         occupancy * (busySkewThreshold - idleSkewThreshold);
       const { shares } = popularity;
-      const skew = boundedPlanner.measureSkew({ map, shares });
+      const paces = listPaces(status);
+      const skew = boundedPlanner.measureSkew({ map, shares, paces });
       if (skew <= allowedSkew) return;
       return switchMap(status, { map, popularity, allowedSkew });
     },
--- a/packages/anvilhinge/src/agent/ranks/rank_agent.ts
+++ b/packages/anvilhinge/src/agent/ranks/rank_agent.ts
@@ -84,7 +84,9 @@
 const otherGroupStatusTicks = 100;
 /** Interval between iterations of the leader; about one forward pass. */
 const leaderIntervalMs = 50;
-const maxCopiesPerRank = 2;
+const maxCopiesPerRank = 4;
+/** Relative change of the pace that is reported in the next tick. */
+const minPaceChange = 0.1;
 /** Lower ranks that are listed when the leader changes. */
 const maxDescribedRanks = 3;
 /** Margin that is added to the specified maximum lag of reports. */
@@ -142,17 +144,22 @@
    */
   let firstOpenEpoch: number | undefined;
   let tickCount = 0;
+  /** Pace in the last status that was sent to all agents of the group. */
+  let reportedPace = 1;
   let isLeading = false;
 
   function sendStatus(status: rankPeers.RankStatus): void {
     const message: StatusMessage = { kind: "status", status };
     const hasJoined = peers.listRecent().length > 0;
-    if (hasJoined && tickCount % groupStatusTicks !== 0) {
+    const hasNewPace = Math.abs(status.pace / reportedPace - 1) > minPaceChange;
+    const isForGroup = tickCount % groupStatusTicks === 0 || hasNewPace;
+    if (hasJoined && !isForGroup) {
       for (const { address } of peers.listCandidates()) {
         sockets.send(message, address);
       }
       return;
     }
+    reportedPace = status.pace;
     const live = peers.listLive().map(({ address }) => address);
     const isForAllGroups = tickCount % otherGroupStatusTicks === 0;
     for (const address of new Set([...options.listAddresses(), ...live])) {
--- a/packages/anvilhinge/src/agent/ranks/rank_agent_test.ts
+++ b/packages/anvilhinge/src/agent/ranks/rank_agent_test.ts
@@ -49,6 +49,21 @@
     expect(harness.countRemoteOrders()).toBe(switches.length);
   });
 
+  it("take the load off a slow rank, and use the rank again once it is sound", async () => {
+    const harness = rankGroupHarness.createRankGroupHarness({ rankCount });
+    await harness.scheduler.advanceAsync(4_000);
+    harness.setPace(5, 4);
+    expect(harness.measureSkew()).toBeGreaterThan(2.5);
+    await harness.scheduler.advanceAsync(3_000);
+    expect(harness.measureSkew()).toBeLessThan(2);
+    expectSingleMap(harness);
+    harness.setPace(5, 1);
+    harness.shiftDemand();
+    await harness.scheduler.advanceAsync(3_000);
+    expect(harness.measureSkew()).toBeLessThan(2);
+    expectSingleMap(harness);
+  });
+
   it("resume passes soon after the leader freezes while a pass is held", async () => {
     const harness = rankGroupHarness.createRankGroupHarness({ rankCount });
     expect(await advanceToHold(harness, 5_000)).toBe(true);
--- a/packages/anvilhinge/src/testing/rank_group_harness.ts
+++ b/packages/anvilhinge/src/testing/rank_group_harness.ts
@@ -3,6 +3,7 @@
  * real engines, a real agent for each, and simulated datagrams between the
  * agents. The test advances the time and can pause or cut off agents.
  */
+import * as boundedPlanner from "@anvilhinge/coordination/maps/bounded_planner";
 import type * as rankOrders from "@anvilhinge/coordination/maps/rank_orders";
 import * as datagrams from "../adapters/datagrams.ts";
 import * as rankAgent from "../agent/ranks/rank_agent.ts";
@@ -78,6 +79,10 @@
   setStatusLost(rank: number, isLost: boolean): void;
   /** Returns the rank of the agent that sent the last order to hold a pass. */
   getHoldSender(): number | undefined;
+  /** Sets the time for a unit of work of a rank, relative to a sound rank. */
+  setPace(rank: number, pace: number): void;
+  /** Returns the skew of the map in use under the current demand and paces. */
+  measureSkew(): number;
   /** Shifts the demand to other experts. */
   shiftDemand(): void;
   /** Returns the number of orders sent to an engine on another machine. */
@@ -199,6 +204,7 @@
     readonly atMs: number;
     readonly reports: readonly rankEngine.RankReport[];
   }[] = [];
+  const paces = engines.map(() => 1);
   const drawDemand = options.drawDemand ?? createHotExperts();
   let demand = drawDemand(layerCount, expertCount);
   let step = 0;
@@ -221,7 +227,7 @@
       startedAtMs: 0,
       running: runningRequests,
       waiting: 0,
-      pace: 1,
+      pace: paces[rank]!,
       state: {
         rank,
         epoch,
@@ -509,6 +515,16 @@
       process.isCutOff = false;
       for (const task of process.deferred.splice(0)) task();
     },
+    setPace(rank, pace) {
+      paces[rank] = pace;
+    },
+    measureSkew() {
+      const { map } = engines[0]!;
+      const shares = map.layers.map((_, layer) =>
+        demand.slice(layer * expertCount, (layer + 1) * expertCount)
+      );
+      return boundedPlanner.measureSkew({ map, shares, paces });
+    },
     setStatusLost(rank, isLost) {
       processes[rank]!.isStatusLost = isLost;
     },
--- a/packages/coordination/src/maps/bounded_planner.ts
+++ b/packages/coordination/src/maps/bounded_planner.ts
@@ -29,6 +29,11 @@
   readonly maxNewPerLayer: number;
   /** Maximum number of experts that one rank copies over all layers. */
   readonly maxNewPerRank: number;
+  /**
+   * Skew at which further copies are not worth their cost.
+   * @default copies are limited by `maxNewPerRank` only
+   */
+  readonly targetSkew?: number;
 }
 
 export interface BoundedPlan {
@@ -235,6 +240,8 @@
   readonly #options: BoundedPlanOptions;
   readonly #layers: readonly Layer[];
   readonly #copiesByRank: number[];
+  /** Current limit on the copies of one rank. */
+  #maxNewPerRank = 0;
 
   constructor(options: BoundedPlanOptions) {
     this.#options = options;
@@ -256,14 +263,13 @@
     const otherLayersCopies = this.#copiesByRank[change.rank]! -
       layer.copies[change.rank]!;
     return copies <= this.#options.maxNewPerLayer &&
-      otherLayersCopies + copies <= this.#options.maxNewPerRank;
+      otherLayersCopies + copies <= this.#maxNewPerRank;
   }
 
   *#listMoves(layer: Layer, sourceRank: number): Generator<Move> {
-    const { maxNewPerRank } = this.#options;
     const targetRanks = layer.loads.map((_, rank) => rank)
       .filter((rank) =>
-        rank !== sourceRank && this.#copiesByRank[rank]! < maxNewPerRank
+        rank !== sourceRank && this.#copiesByRank[rank]! < this.#maxNewPerRank
       )
       .sort((a, b) => layer.loads[a]! - layer.loads[b]!)
       .slice(0, maxTargetRanks);
@@ -364,6 +370,28 @@
 
   plan(): BoundedPlan {
     const skewBefore = computeMeanSkew(this.#layers);
+    const { maxNewPerRank, targetSkew } = this.#options;
+    this.#maxNewPerRank = targetSkew === undefined ? maxNewPerRank : 1;
+    this.#improveAll();
+    while (
+      this.#maxNewPerRank < maxNewPerRank &&
+      computeMeanSkew(this.#layers) > targetSkew!
+    ) {
+      this.#maxNewPerRank += 1;
+      this.#improveAll();
+    }
+    return {
+      map: { layers: this.#layers.map(({ ranks }) => ranks) },
+      copies: this.#copiesByRank.reduce((sum, count) => sum + count, 0),
+      mostCopiesPerRank: Math.max(0, ...this.#copiesByRank),
+      skewBefore,
+      skewAfter: computeMeanSkew(this.#layers),
+    };
+  }
+
+  /** Takes moves until none gains enough within the limit on copies. */
+  #improveAll(): void {
+    for (const layer of this.#layers) layer.isConverged = false;
     while (true) {
       const improvableLayers = this.#layers.filter(({ isConverged }) =>
         !isConverged
@@ -377,13 +405,6 @@
       );
       mostSkewed.isConverged = !this.#improve(mostSkewed);
     }
-    return {
-      map: { layers: this.#layers.map(({ ranks }) => ranks) },
-      copies: this.#copiesByRank.reduce((sum, count) => sum + count, 0),
-      mostCopiesPerRank: Math.max(0, ...this.#copiesByRank),
-      skewBefore,
-      skewAfter: computeMeanSkew(this.#layers),
-    };
   }
 }
 
