--- a/packages/anvilhinge/src/entry/choice/slot_coordinator.ts
+++ b/packages/anvilhinge/src/entry/choice/slot_coordinator.ts
@@ -64,6 +64,8 @@
 const waitingIntervalMs = 25;
 /** Interval between states sent to the hub while no request waits. */
 const idleIntervalMs = 250;
+/** Minimum interval between two decisions of the hub. */
+const decisionIntervalMs = 4;
 const logIntervalMs = 1_000;
 /**
  * Time for which a new hub assigns no slots, because only the states of the
@@ -97,6 +99,8 @@
   let hubSinceMs: number | undefined;
   let loggedAtMs = -Infinity;
   let isReportScheduled = false;
+  let isDecisionScheduled = false;
+  let decidedAtMs = -Infinity;
   let stateSentAtMs = -Infinity;
   /** Hub that the last state was sent to. */
   let reportedHubId: string | undefined;
@@ -134,12 +138,38 @@
     }
   }
 
+  function recordAtHub(state: work.WorkState): void {
+    hub.record(state);
+    scheduleDecisions();
+  }
+
+  /**
+   * Schedules one decision on all states that arrive until then: a decision takes
+   * much longer than recording a state.
+   */
+  function scheduleDecisions(): void {
+    if (isDecisionScheduled) return;
+    isDecisionScheduled = true;
+    const elapsedMs = scheduler.now() - decidedAtMs;
+    scheduler.schedule(decide, {
+      delayMs: Math.max(0, decisionIntervalMs - elapsedMs),
+      signal,
+    });
+  }
+
+  function decide(): void {
+    isDecisionScheduled = false;
+    if (!isActiveHub()) return;
+    decidedAtMs = scheduler.now();
+    deliver(hub.decide());
+  }
+
   function reportState(): void {
     isReportScheduled = false;
     stateSentAtMs = scheduler.now();
     reportedHubId = members.getHub().id;
     const state = client.buildState();
-    if (isActiveHub()) return deliver(hub.receive(state));
+    if (isActiveHub()) return recordAtHub(state);
     if (members.isHub()) return;
     const message: DispatchMessage = { kind: "work", state };
     options.sockets.send(message, members.getHub().address);
@@ -170,7 +200,7 @@
     const intervalMs = isWaiting ? waitingIntervalMs : idleIntervalMs;
     const isDue = scheduler.now() - stateSentAtMs >= intervalMs;
     if (isDue || members.getHub().id !== reportedHubId) reportState();
-    if (isActiveHub()) deliver(hub.decide());
+    if (isActiveHub()) scheduleDecisions();
     scheduler.schedule(tick, { delayMs: waitingIntervalMs, signal });
   }
 
@@ -198,7 +228,7 @@
         return emit(client.receive(message.decisions));
       }
       addresses.set(message.state.entryId, senderAddress);
-      if (isActiveHub()) return deliver(hub.receive(message.state));
+      if (isActiveHub()) return recordAtHub(message.state);
       // A hub that warms up learns the rate limits before it grants slots.
       if (message.state.rateLimits !== undefined) {
         options.rateLimits.merge(message.state.rateLimits);
--- a/packages/anvilhinge/src/entry/choice/slot_coordinator_test.ts
+++ b/packages/anvilhinge/src/entry/choice/slot_coordinator_test.ts
@@ -356,3 +356,79 @@
   system.scheduler.advance(100);
   expect(system.listTables()[5]!.list()).toHaveLength(2);
 });
+
+/** A hub that sends its decisions to entries that only the test plays. */
+function startHub() {
+  const scheduler = manualScheduler.createManualScheduler();
+  const decisions: work.Decisions[] = [];
+  const coordinator = slotCoordinator.startSlotCoordinator({
+    entryId: "hub",
+    failureDomain: "a",
+    members: {
+      getHub: () => ({ id: "hub", address: "10.0.0.1:1" }),
+      isHub: () => true,
+      countEntries: () => 3,
+      computeReachableShare: () => 1,
+    },
+    scheduler,
+    elapsed: scheduler,
+    random: () => 0.5,
+    sockets: {
+      send: (message) =>
+        void decisions.push(
+          (message as { decisions: work.Decisions }).decisions,
+        ),
+    },
+    logger: log,
+    rateLimits: rateLimits.createRateLimits({ clock: scheduler }),
+    signal: new AbortController().signal,
+    onEvent() {},
+  });
+  coordinator.setUpstreams(
+    [{ id: "u0", pool: "p", failureDomain: "a", slots: 1 }],
+    [],
+  );
+  return { scheduler, decisions, coordinator };
+}
+
+function createWork(
+  entryId: string,
+  options: { readonly sequence?: number; readonly priority: number },
+): slotCoordinator.DispatchMessage {
+  const request = {
+    key: `${entryId}/1`,
+    pool: "p",
+    priority: options.priority,
+    workspace: "w",
+    promptTokens: 0,
+    answerTokens: 0,
+    ageMs: 0,
+    aimLeftMs: 300,
+    leftMs: 2_000,
+    avoided: [],
+  };
+  const state = {
+    entryId,
+    failureDomain: "a",
+    sequence: options.sequence ?? 1,
+    waiting: [request],
+    running: [],
+    passes: [],
+  };
+  return { kind: "work", state };
+}
+
+test("the hub decides once on states that arrive together", () => {
+  const { scheduler, decisions, coordinator } = startHub();
+  scheduler.advance(1_000);
+  const urgent = createWork("e2", { priority: 0 });
+  for (let sequence = 1; sequence <= 20; sequence += 1) {
+    const message = createWork("e1", { sequence, priority: 5 });
+    coordinator.handle(message, "10.0.0.2:1");
+  }
+  coordinator.handle(urgent, "10.0.0.3:1");
+  scheduler.advance(10);
+  const grants = decisions.flatMap((decision) => decision.grants);
+  expect(grants).toEqual([{ key: "e2/1", upstreamId: "u0" }]);
+  expect(decisions).toHaveLength(2);
+});
--- a/packages/coordination/src/dispatch/work_hub.ts
+++ b/packages/coordination/src/dispatch/work_hub.ts
@@ -57,14 +57,16 @@
     upstreams: readonly work.UpstreamSpec[],
     specs?: readonly work.PoolSpec[],
   ): void;
-  /**
-   * Applies an entry's state. Returns the decisions for this entry and for each
-   * other entry with a new grant or refusal, by entry id.
-   */
+  /** Applies an entry's state; the next decision answers it. */
+  record(state: work.WorkState): void;
+  /** Applies an entry's state and decides at once. */
   receive(state: work.WorkState): ReadonlyMap<string, work.Decisions>;
   /** Records that this hub takes over from another. */
   takeOver(): void;
-  /** Decides again, for example after slots were added. */
+  /**
+   * Decides on all requests. Returns the decisions, by id, for the entries whose
+   * state is unanswered and for each other entry with a new grant or refusal.
+   */
   decide(): ReadonlyMap<string, work.Decisions>;
   /** Returns the waiting requests and used slots of each pool. */
   describe(): readonly PoolLoad[];
@@ -102,6 +104,8 @@
 interface EntryState {
   state: work.WorkState;
   receivedAtMs: number;
+  /** Whether no decisions were returned since the state was received. */
+  isUnanswered: boolean;
   /** Grants that the entry has not acknowledged yet, by request key. */
   readonly pendingGrants: Map<string, PendingGrant>;
   readonly queued: Map<string, QueuedRequest>;
@@ -465,8 +469,10 @@
     const decided = new Map<string, work.Decisions>();
     for (const [id, entry] of entries) {
       const previous = before.get(id);
-      const isNew = listDecidedKeys(entry).some((key) => !previous?.has(key));
-      if (isNew) decided.set(id, collectDecisions(entry));
+      const isDue = entry.isUnanswered ||
+        listDecidedKeys(entry).some((key) => !previous?.has(key));
+      entry.isUnanswered = false;
+      if (isDue) decided.set(id, collectDecisions(entry));
     }
     return decided;
   }
@@ -497,6 +503,7 @@
     countFreed(entry.state, state);
     entry.state = state;
     entry.receivedAtMs = nowMs;
+    entry.isUnanswered = true;
     const runningKeys = new Set(state.running.map(({ key }) => key));
     const waitingKeys = new Set(state.waiting.map(({ key }) => key));
     for (const [key, pending] of entry.pendingGrants) {
@@ -529,6 +536,25 @@
     }
   }
 
+  function recordState(state: work.WorkState): void {
+    let entry = entries.get(state.entryId);
+    if (entry === undefined || state.sequence < entry.state.sequence) {
+      // New or restarted entry.
+      entry = {
+        state: { ...state, running: [], waiting: [] },
+        receivedAtMs: clock.now(),
+        isUnanswered: true,
+        pendingGrants: new Map(),
+        queued: new Map(),
+        denials: new Map(),
+      };
+      entries.set(state.entryId, entry);
+    }
+    updateEntry(entry, state);
+    if (state.rateLimits !== undefined) limits.merge(state.rateLimits);
+    state.passes.forEach(recordPass);
+  }
+
   return {
     setUpstreams(upstreams, specs = []) {
       budget.retain(new Set(upstreams.map(({ id }) => id)));
@@ -559,23 +585,10 @@
         });
       }
     },
+    record: recordState,
     receive(state) {
-      let entry = entries.get(state.entryId);
-      if (entry === undefined || state.sequence < entry.state.sequence) {
-        // New or restarted entry.
-        entry = {
-          state: { ...state, running: [], waiting: [] },
-          receivedAtMs: clock.now(),
-          pendingGrants: new Map(),
-          queued: new Map(),
-          denials: new Map(),
-        };
-        entries.set(state.entryId, entry);
-      }
-      updateEntry(entry, state);
-      if (state.rateLimits !== undefined) limits.merge(state.rateLimits);
-      state.passes.forEach(recordPass);
-      return decideAll().set(state.entryId, collectDecisions(entry));
+      recordState(state);
+      return decideAll();
     },
     takeOver: budget.reset,
     decide: decideAll,
