--- a/packages/anvilhinge/src/entry/control/roster_node.ts
+++ b/packages/anvilhinge/src/entry/control/roster_node.ts
@@ -13,6 +13,11 @@
 export interface EntryDetails {
   /** Address for callers as `host:port`. */
   readonly callers: string;
+  /**
+   * Processors' worth of time that the entry may use.
+   * @default 0
+   */
+  readonly capacity?: number;
   readonly failureDomain: string;
   readonly region: string;
   readonly isReady: boolean;
@@ -75,6 +80,9 @@
     readHubStatus: options.readHubStatus,
     onHubStatus: options.onHubStatus,
     self: options.self,
+    // An entry without a view, or that is about to stop, would assign no slots.
+    getCapacity: ({ capacity = 0, isReady, isLeaving }) =>
+      isReady && !isLeaving ? capacity : 0,
     seeds: options.seeds,
   });
   let { details } = options.self;
--- a/packages/anvilhinge/src/entry/routed_entry.ts
+++ b/packages/anvilhinge/src/entry/routed_entry.ts
@@ -99,6 +99,13 @@
   return seeds.map((seed) => `${hostPort.parseAddress(seed).host}:${port}`);
 }
 
+/** Computes the processors' worth of time that the entry may use. */
+function computeCapacity(
+  { processor }: routedProcess.RoutedEntrySettings,
+): number {
+  return processor === undefined ? 0 : processor.share * processor.cores;
+}
+
 function listen(
   server: http.Server,
   address: string,
@@ -165,6 +172,7 @@
       incarnation: Date.now(),
       details: {
         callers: settings.callers,
+        capacity: computeCapacity(settings),
         failureDomain: settings.failureDomain,
         region: settings.region,
         isReady: false,
--- a/packages/anvilhinge/src/settings/routed_process.ts
+++ b/packages/anvilhinge/src/settings/routed_process.ts
@@ -69,6 +69,12 @@
   directory: hostPort,
   /** Address of the metrics endpoint. */
   metrics: hostPort,
+  /** Processor time that the process may use; the largest entry is the hub. */
+  processor: zod.optional(zod.object({
+    /** Share of the time, from 0 to 1. */
+    share: zod.number().check(zod.gte(0)),
+    cores: zod.number().check(zod.gte(0)),
+  })),
   bounds,
 });
 
--- a/packages/coordination/src/roster.ts
+++ b/packages/coordination/src/roster.ts
@@ -1,10 +1,11 @@
 /**
  * Liveness of the members of one system, which start with only a few seed
- * addresses. The member with the earliest start is the hub: the others report
- * to it, and it sends the list of live members to all of them. The number of
+ * addresses. Of the members with the most capacity, the one with the earliest
+ * start is the hub: the others report to it, and it sends the list of live
+ * members to all of them. The number of
  * messages grows linearly with the number of members, not quadratically. No
- * consensus is needed: two hubs at a time only cost messages, and the younger
- * hub yields as soon as a message lists the older hub. Deterministic state
+ * consensus is needed: two hubs at a time only cost messages, and one of them
+ * yields as soon as a message lists the other. Deterministic state
  * machine: it handles messages and ticks and returns messages to send.
  *
  * The others know each other only through the hub, whose list of members replaces
@@ -24,7 +25,7 @@
   readonly id: string;
   /** Address for messages. */
   readonly address: string;
-  /** Wall-clock start time; the member with the lowest value is the hub. */
+  /** Wall-clock start time. */
   readonly incarnation: number;
   /** Increases with each change of the details. */
   readonly revision: number;
@@ -74,6 +75,12 @@
 export interface RosterOptions<Details, HubStatus = undefined> {
   readonly clock: clock.Clock;
   readonly self: Omit<MemberInfo<Details>, "revision">;
+  /**
+   * Returns the capacity of a member for the work of the hub, which grows with
+   * the number of members; 0 for one that should not be the hub.
+   * @default () => 0
+   */
+  readonly getCapacity?: (details: Details) => number;
   /** Initial addresses; may contain the own address. */
   readonly seeds: readonly string[];
   /**
@@ -102,7 +109,7 @@
   listLive(): readonly MemberInfo<Details>[];
   /** Members that were live within a time, including this member. */
   listRecent(withinMs: number): readonly MemberInfo<Details>[];
-  /** The live member with the earliest start. */
+  /** Of the live members with the most capacity, the one started first. */
   getHub(): MemberInfo<Details>;
   isHub(): boolean;
 }
@@ -138,14 +145,6 @@
   readonly token?: number;
 }
 
-/** Compares members by start time, the earliest first, then by id. */
-function compareAge<Details>(
-  a: MemberInfo<Details>,
-  b: MemberInfo<Details>,
-): number {
-  return a.incarnation - b.incarnation || (a.id < b.id ? -1 : 1);
-}
-
 /** Compares two infos of one member by version; 0 = equal. */
 function compareVersions<Details>(
   a: MemberInfo<Details>,
@@ -160,7 +159,7 @@
 ): Roster<Details, HubStatus> {
   type Message = RosterMessage<Details, HubStatus>;
   type Sends = readonly RosterSend<Details, HubStatus>[];
-  const { clock } = options;
+  const { clock, getCapacity = () => 0 } = options;
   const memberTimeoutMs = options.memberTimeoutMs ?? defaultMemberTimeoutMs;
   const otherMembers = new Map<string, OtherMember<Details>>();
   const seeds = new Set(options.seeds);
@@ -179,6 +178,18 @@
     );
   }
 
+  /**
+   * Compares members by capacity, the highest first, then by start time, the
+   * earliest first, then by id.
+   */
+  function compareSeniority(
+    a: MemberInfo<Details>,
+    b: MemberInfo<Details>,
+  ): number {
+    return getCapacity(b.details) - getCapacity(a.details) ||
+      a.incarnation - b.incarnation || (a.id < b.id ? -1 : 1);
+  }
+
   function isLive({ liveUntilMs }: OtherMember<Details>): boolean {
     return clock.now() <= liveUntilMs;
   }
@@ -188,7 +199,9 @@
   }
 
   function listLive(): readonly MemberInfo<Details>[] {
-    return [self, ...listLiveOthers().map(({ info }) => info)].sort(compareAge);
+    return [self, ...listLiveOthers().map(({ info }) => info)].sort(
+      compareSeniority,
+    );
   }
 
   function getHub(): MemberInfo<Details> {
@@ -265,7 +278,7 @@
     const liveIds = new Set(listLive().map(({ id }) => id));
     const lost = listOthers(lostMemberTtlMs).map(({ info }) => info)
       .filter(({ id }) => !liveIds.has(id))
-      .sort(compareAge);
+      .sort(compareSeniority);
     const taken = Array.from(
       { length: Math.min(count, lost.length) },
       (_, offset) => lost[(lostIndex + offset) % lost.length]!.address,
