--- a/packages/anvilhinge/src/entry/callers/routed_answer.ts
+++ b/packages/anvilhinge/src/entry/callers/routed_answer.ts
@@ -89,6 +89,8 @@
    */
   readonly bufferLimitBytes?: number;
   readonly clock: clock.Clock;
+  /** Called when the first part of an answer that is not whole is sent. */
+  readonly onFirst: () => void;
   /** Called with each gap between two consecutive parts, in milliseconds. */
   readonly onGap: (pauseMs: number) => void;
 }
@@ -99,7 +101,8 @@
  */
 export function createRoutedAnswerWriter(
   response: http.ServerResponse,
-  { isWhole, bufferLimitBytes, clock, onGap }: RoutedAnswerWriterOptions,
+  { isWhole, bufferLimitBytes, clock, onFirst, onGap }:
+    RoutedAnswerWriterOptions,
 ): RoutedAnswerWriter {
   let head: engine.AnswerHead | undefined;
   const limitBytes = bufferLimitBytes ?? sessionCore.defaultBufferLimitBytes;
@@ -115,6 +118,7 @@
     const nowMs = clock.now();
     if (lastAtMs === undefined) {
       firstAtMs = nowMs;
+      onFirst();
     } else {
       const pauseMs = nowMs - lastAtMs;
       longestPauseMs = Math.max(longestPauseMs, pauseMs);
--- a/packages/anvilhinge/src/entry/callers/routed_answer_test.ts
+++ b/packages/anvilhinge/src/entry/callers/routed_answer_test.ts
@@ -29,6 +29,7 @@
       isWhole,
       bufferLimitBytes,
       clock: manualScheduler.createManualScheduler(),
+      onFirst: () => {},
       onGap: () => {},
     }))
   );
--- a/packages/anvilhinge/src/entry/callers/routed_http.ts
+++ b/packages/anvilhinge/src/entry/callers/routed_http.ts
@@ -200,6 +200,7 @@
     const sink = routedAnswer.createRoutedAnswerWriter(response, {
       isWhole: !isStream,
       clock: scheduler,
+      onFirst: requestPolicy.recordFirstPart,
       onGap: requestPolicy.recordGap,
     });
     let attemptCount = 0;
--- a/packages/anvilhinge/src/entry/choice/routed_policy.ts
+++ b/packages/anvilhinge/src/entry/choice/routed_policy.ts
@@ -46,6 +46,8 @@
   recordOutcome(
     observation: Extract<session.SessionEffect, { kind: "observe" }>,
   ): void;
+  /** Records that the first event of the answer has arrived. */
+  recordFirstPart(): void;
   /** Records a gap between two events of the answer, in milliseconds. */
   recordGap(gapMs: number): void;
   /** Returns the attempts and the wait of the request, for its log line. */
@@ -424,6 +426,14 @@
         options.metrics.recordRetry(isTaken);
         return isTaken;
       },
+      recordFirstPart() {
+        const [attempt, ...others] = attempts;
+        // Of several attempts it is not known which began the answer.
+        const isKnown = attempt !== undefined && others.length === 0;
+        if (engine === undefined || !isKnown) return;
+        const afterMs = measureElapsed() - attempt.sentMs;
+        slots.recordFirstPart(request.service, afterMs);
+      },
       recordGap(gapMs) {
         if (engine !== undefined) {
           slots.recordGap(request.service, gapMs);
--- a/packages/anvilhinge/src/entry/choice/slot_coordinator.ts
+++ b/packages/anvilhinge/src/entry/choice/slot_coordinator.ts
@@ -49,6 +49,7 @@
     pools: readonly work.PoolSpec[],
   ): void;
   recordGap(pool: string, gapMs: number): void;
+  recordFirstPart(pool: string, afterMs: number): void;
   requestSlot(request: workClient.SlotRequest): void;
   recordStart(request: work.RunningRequest): void;
   drop(key: string): void;
@@ -211,6 +212,7 @@
       hub.setUpstreams(upstreams, pools);
     },
     recordGap: client.recordGap,
+    recordFirstPart: client.recordFirstPart,
     requestSlot(request) {
       client.requestSlot(request);
       scheduleReport();
--- a/packages/coordination/src/dispatch/work.ts
+++ b/packages/coordination/src/dispatch/work.ts
@@ -43,6 +43,13 @@
   readonly passMs: number;
 }
 
+/** Recent times from the dispatch of a request to the first part of its answer. */
+export interface FirstParts {
+  readonly pool: string;
+  /** In milliseconds. */
+  readonly afterMs: readonly number[];
+}
+
 /** All waiting and running requests of one entry. */
 export interface WorkState {
   readonly entryId: string;
@@ -53,6 +60,8 @@
   readonly waiting: readonly WaitingRequest[];
   readonly running: readonly RunningRequest[];
   readonly passes: readonly PassTime[];
+  /** Undefined if there were none since the last state. */
+  readonly firstParts?: readonly FirstParts[];
   /** Undefined if the entry's build does not know rate limits. */
   readonly rateLimits?: rateLimits.RateLimitMessage;
 }
--- a/packages/coordination/src/dispatch/work_client.ts
+++ b/packages/coordination/src/dispatch/work_client.ts
@@ -62,6 +62,8 @@
   recordStart(request: work.RunningRequest): void;
   /** Records a gap between two events of a stream. */
   recordGap(pool: string, gapMs: number): void;
+  /** Records the time from a dispatch to the first part of the answer. */
+  recordFirstPart(pool: string, afterMs: number): void;
   /** Removes a waiting or running request. */
   drop(key: string): void;
   /** Builds the state for the hub; each call increments its sequence number. */
@@ -103,6 +105,8 @@
   const running = new Map<string, work.RunningRequest>();
   /** Gaps between stream events that no state has reported yet, by pool. */
   const gapsByPool = new Map<string, number[]>();
+  /** Times of first parts that no state has reported yet, by pool. */
+  const firstPartsByPool = new Map<string, number[]>();
   const limits = options.rateLimits ?? rateLimits.createRateLimits({ clock });
   let upstreams: readonly work.UpstreamSpec[] = [];
   /** Hash of the hub's rate limits in its last answer. */
@@ -203,6 +207,16 @@
     return passes;
   }
 
+  function takeFirstParts(): readonly work.FirstParts[] | undefined {
+    if (firstPartsByPool.size === 0) return undefined;
+    const firstParts = [...firstPartsByPool].map(([pool, afterMs]) => ({
+      pool,
+      afterMs,
+    }));
+    firstPartsByPool.clear();
+    return firstParts;
+  }
+
   return {
     setUpstreams(newUpstreams) {
       upstreams = newUpstreams;
@@ -224,6 +238,11 @@
       gaps.push(gapMs);
       gapsByPool.set(pool, gaps);
     },
+    recordFirstPart(pool, afterMs) {
+      const times = firstPartsByPool.get(pool) ?? [];
+      times.push(Math.round(afterMs));
+      firstPartsByPool.set(pool, times);
+    },
     drop(key) {
       pending.delete(key);
       running.delete(key);
@@ -240,6 +259,7 @@
         sequence,
         running: [...running.values()],
         passes: takePassTimes(),
+        firstParts: takeFirstParts(),
         rateLimits: limits.buildMessage(hubHash),
         waiting: [...pending.values()].map(({ request, requestedAtMs }) => {
           const ageMs = Math.round(nowMs - requestedAtMs);
--- a/packages/coordination/src/dispatch/work_hub.ts
+++ b/packages/coordination/src/dispatch/work_hub.ts
@@ -12,10 +12,12 @@
  *   adds. All streams of a group wait for its passes, so a single excess
  *   request makes all of them late.
  * - Requests that can still meet their target time for the first event precede
- *   those that cannot. Within both, the order is by priority, then by fewest
- *   slots of the workspace, then by age.
- * - A request is refused at once if its predicted wait exceeds a bound. The
- *   retry delay is the predicted wait plus jitter, so that retries are spread.
+ *   those that cannot, given the time that answers take to begin. Within both,
+ *   the order is by priority, then by fewest slots of the workspace, then by age.
+ * - A request is refused at once if its predicted wait exceeds a bound. A request
+ *   that can't be in time is left what the new requests leave of the slots, so
+ *   that its wait has no end while these take all. The retry delay is the
+ *   predicted wait plus jitter, so that retries are spread.
  * - An upstream with a rate limit gets no more grants than the limit allows. The
  *   requests that only such upstreams can serve wait or are refused by the sum of
  *   their limits.
@@ -24,6 +26,7 @@
  */
 import type * as clock from "../clock.ts";
 import type * as random from "../random.ts";
+import * as firstPartEstimate from "./first_part_estimate.ts";
 import * as rateBudget from "./rate_budget.ts";
 import * as rateLimits from "./rate_limits.ts";
 import * as work from "./work.ts";
@@ -83,11 +86,13 @@
   readonly freedPerSecond: number;
   /** Duration of the last reported pass, in milliseconds; 0 if none. */
   readonly passMs: number;
+  /** Time in which most answers begin after their dispatch, in milliseconds. */
+  readonly firstPartMs: number;
   /** Number of upstreams with a rate limit. */
   readonly rateLimited: number;
   /** Requests that were granted a slot. */
   readonly granted: number;
-  /** Those of them whose target time had passed. */
+  /** Those of them whose answer was not expected to begin in time. */
   readonly grantedLate: number;
   /** Requests that were refused. */
   readonly refused: number;
@@ -131,9 +136,13 @@
   longPassesSinceMs: number | undefined;
   /** Duration of the last reported pass; 0 if none. */
   lastPassMs: number;
+  readonly firstPart: firstPartEstimate.FirstPartEstimate;
   /** Moving average of the rate at which slots become free. */
   freedPerSecond: number;
   freedSlots: number;
+  /** Moving average of the rate of new requests that can be in time. */
+  timelyPerSecond: number;
+  timelyRequests: number;
   rateUpdatedAtMs: number;
   granted: number;
   grantedLate: number;
@@ -302,15 +311,20 @@
     return best;
   }
 
+  /** Whether the answer to a request can't be expected to begin in time. */
+  function isLate({ aimAtMs }: QueuedRequest, pool: PoolState): boolean {
+    return aimAtMs < clock.now() + pool.firstPart.get();
+  }
+
   function listQueue(poolName: string): QueuedRequest[] {
-    const nowMs = clock.now();
+    const pool = pools.get(poolName);
+    if (pool === undefined) return [];
     const slotsByWorkspace = countByWorkspace(poolName);
-    const isLate = (request: QueuedRequest) => request.aimAtMs < nowMs;
     return [...entries.values()]
       .flatMap(({ queued }) => [...queued.values()])
-      .filter(({ pool }) => pool === poolName)
+      .filter((request) => request.pool === poolName)
       .sort((a, b) =>
-        Number(isLate(a)) - Number(isLate(b)) ||
+        Number(isLate(a, pool)) - Number(isLate(b, pool)) ||
         a.priority - b.priority ||
         compareSlots(a, b, slotsByWorkspace) ||
         a.arrivedAtMs - b.arrivedAtMs
@@ -337,11 +351,17 @@
     const nowMs = clock.now();
     const elapsedMs = nowMs - pool.rateUpdatedAtMs;
     if (elapsedMs < rateUpdateIntervalMs) return;
-    const rate = pool.freedSlots * millisecondsPerSecond / elapsedMs;
-    pool.freedPerSecond = pool.freedPerSecond === 0
-      ? rate
-      : pool.freedPerSecond + rateWeight * (rate - pool.freedPerSecond);
+    const perSecond = millisecondsPerSecond / elapsedMs;
+    pool.freedPerSecond = smoothRate(
+      pool.freedPerSecond,
+      pool.freedSlots * perSecond,
+    );
+    pool.timelyPerSecond = smoothRate(
+      pool.timelyPerSecond,
+      pool.timelyRequests * perSecond,
+    );
     pool.freedSlots = 0;
+    pool.timelyRequests = 0;
     pool.rateUpdatedAtMs = nowMs;
   }
 
@@ -359,7 +379,7 @@
       if (entry === undefined) continue;
       remaining -= 1;
       pool.granted += 1;
-      if (request.aimAtMs < clock.now()) pool.grantedLate += 1;
+      if (isLate(request, pool)) pool.grantedLate += 1;
       budget.take(upstream.id);
       entry.queued.delete(request.key);
       entry.pendingGrants.set(request.key, {
@@ -389,15 +409,19 @@
     let total: rateBudget.TokenSum | undefined;
     const isSlotFree = computeLimit(pool) - countUsedSlots(pool) >= 1;
     let rateLimitedCount = 0;
+    const sparePerSecond = pool.freedPerSecond - pool.timelyPerSecond;
     queue.forEach((request, index) => {
       const isRateLimited = unlimited.every(({ id }) =>
         request.avoided.includes(id)
       );
       if (isRateLimited) rateLimitedCount += 1;
+      const slotsPerSecond = isLate(request, pool)
+        ? Math.max(0, sparePerSecond)
+        : pool.freedPerSecond;
       const slotWaitMs =
         pool.freedPerSecond === 0 || (isRateLimited && isSlotFree)
           ? 0
-          : (index + 1) * millisecondsPerSecond / pool.freedPerSecond;
+          : (index + 1) * millisecondsPerSecond / slotsPerSecond;
       let rateWaitMs = 0;
       if (isRateLimited) {
         total ??= budget.sum(pool.upstreams.map(({ id }) => id));
@@ -443,8 +467,9 @@
 
   function computeRetryMs(predictedWaitMs: number): number {
     const jitter = 1 + retryJitterShare * options.random();
-    const delayMs = Math.max(minRetryMs, predictedWaitMs * jitter);
-    return Math.round(Math.min(maxRetryMs, delayMs));
+    const maxWithoutJitterMs = maxRetryMs / (1 + retryJitterShare);
+    const delayMs = Math.min(maxWithoutJitterMs, predictedWaitMs) * jitter;
+    return Math.round(Math.max(minRetryMs, delayMs));
   }
 
   function listDecidedKeys(
@@ -498,6 +523,12 @@
     }
   }
 
+  function countTimely(request: work.WaitingRequest): void {
+    const pool = pools.get(request.pool);
+    if (pool === undefined) return;
+    if (request.aimLeftMs >= pool.firstPart.get()) pool.timelyRequests += 1;
+  }
+
   function updateEntry(entry: EntryState, state: work.WorkState): void {
     const nowMs = clock.now();
     countFreed(entry.state, state);
@@ -526,6 +557,7 @@
         continue;
       }
       const existing = entry.queued.get(request.key);
+      if (existing === undefined) countTimely(request);
       entry.queued.set(request.key, {
         ...request,
         entryId: state.entryId,
@@ -553,6 +585,11 @@
     updateEntry(entry, state);
     if (state.rateLimits !== undefined) limits.merge(state.rateLimits);
     state.passes.forEach(recordPass);
+    for (const { pool, afterMs } of state.firstParts ?? []) {
+      for (const sampleMs of afterMs) {
+        pools.get(pool)?.firstPart.observe(sampleMs);
+      }
+    }
   }
 
   return {
@@ -576,8 +613,12 @@
           maxCostAtMs: previous?.maxCostAtMs ?? 0,
           longPassesSinceMs: previous?.longPassesSinceMs,
           lastPassMs: previous?.lastPassMs ?? 0,
+          firstPart: previous?.firstPart ??
+            firstPartEstimate.createFirstPartEstimate(),
           freedPerSecond: previous?.freedPerSecond ?? 0,
           freedSlots: previous?.freedSlots ?? 0,
+          timelyPerSecond: previous?.timelyPerSecond ?? 0,
+          timelyRequests: previous?.timelyRequests ?? 0,
           rateUpdatedAtMs: previous?.rateUpdatedAtMs ?? clock.now(),
           granted: previous?.granted ?? 0,
           grantedLate: previous?.grantedLate ?? 0,
@@ -601,6 +642,7 @@
         limit: computeLimit(pool),
         freedPerSecond: pool.freedPerSecond,
         passMs: Math.round(pool.lastPassMs),
+        firstPartMs: Math.round(pool.firstPart.get()),
         rateLimited: pool.upstreams.filter(({ id }) => limits.isLimited(id))
           .length,
         granted: pool.granted,
@@ -610,6 +652,11 @@
   };
 }
 
+/** Returns a moving average; the first rate above 0 counts in full. */
+function smoothRate(average: number, rate: number): number {
+  return average === 0 ? rate : average + rateWeight * (rate - average);
+}
+
 function compareSlots(
   a: QueuedRequest,
   b: QueuedRequest,
--- a/packages/coordination/src/dispatch/work_hub_test.ts
+++ b/packages/coordination/src/dispatch/work_hub_test.ts
@@ -41,6 +41,21 @@
   },
 );
 
+test.each([1.5, 2, 5])(
+  "at %s times the capacity, most slots go to requests whose answer begins in time",
+  (load) => {
+    const result = dispatchSimulation.runDispatchSimulation({
+      ...group,
+      seed: 2,
+      load: () => load,
+      firstPartMs: 200,
+    });
+    const inTimePerSecond = result.onTime / (group.durationMs / 1_000);
+    expect(inTimePerSecond).toBeGreaterThan(0.8 * capacity);
+    expect(result.refusedWithFreeSlot).toBe(0);
+  },
+);
+
 test("immediate retries barely reduce the requests served in time", () => {
   const options = { ...group, seed: 3, load: () => 2 };
   const baseline = dispatchSimulation.runDispatchSimulation(options);
--- a/packages/coordination/src/testing/dispatch_simulation.ts
+++ b/packages/coordination/src/testing/dispatch_simulation.ts
@@ -18,6 +18,12 @@
   /** Mean service time of a request in milliseconds. */
   readonly serviceMs: number;
   readonly durationMs: number;
+  /**
+   * Time from the start of a request to the first part of its answer, in
+   * milliseconds.
+   * @default 0
+   */
+  readonly firstPartMs?: number;
   /** Share of callers that retry at once and ignore `retryAfterMs`. */
   readonly immediateRetryShare?: number;
   /** Grants slots in order of arrival, without a hub, as a baseline. */
@@ -25,9 +31,9 @@
 }
 
 export interface DispatchSimulationResult {
-  /** Requests that started within the latency target. */
+  /** Requests whose answer began within the latency target. */
   readonly onTime: number;
-  /** Requests that started after the latency target. */
+  /** Requests whose answer began after the latency target. */
   readonly late: number;
   /** Requests that the caller abandoned before a grant or a refusal. */
   readonly abandoned: number;
@@ -85,6 +91,8 @@
   const waiting = new Map<string, PendingRequest>();
   const running = new Map<string, { upstreamId: string; entry: number }>();
   const sequences = Array.from({ length: options.entryCount }, () => 0);
+  /** First parts that the next state of each entry reports. */
+  const firstParts = new Map<number, readonly work.FirstParts[]>();
   const events: { atMs: number; run: () => void }[] = [];
   const served: number[] = [];
   const result = {
@@ -106,6 +114,8 @@
 
   function buildState(entry: number): work.WorkState {
     sequences[entry]! += 1;
+    const newFirstParts = firstParts.get(entry);
+    firstParts.delete(entry);
     const nowMs = manual.now();
     return {
       entryId: `e${entry}`,
@@ -133,6 +143,7 @@
           promptTokens: 800,
         })),
       passes: [],
+      firstParts: newFirstParts,
     };
   }
 
@@ -185,9 +196,16 @@
       result.maxRunningPerRank,
       runningOnRank,
     );
-    const isOnTime = manual.now() - caller.firstAtMs <= latencyTargetMs;
+    const { firstPartMs = 0 } = options;
+    const firstAtMs = manual.now() + firstPartMs * (0.8 + 0.4 * draw());
+    const isOnTime = firstAtMs - caller.firstAtMs <= latencyTargetMs;
     result.onTime += isOnTime ? 1 : 0;
     result.late += isOnTime ? 0 : 1;
+    const firstPart = { pool: "p", afterMs: [firstAtMs - manual.now()] };
+    schedule(firstAtMs - manual.now(), () => {
+      firstParts.set(caller.entry, [firstPart]);
+      report(caller.entry);
+    });
     const durationMs = options.serviceMs * (0.5 + draw());
     schedule(durationMs, () => {
       running.delete(key);
