--- a/packages/coordination/src/dispatch/work_hub.ts
+++ b/packages/coordination/src/dispatch/work_hub.ts
@@ -352,11 +352,11 @@
     const elapsedMs = nowMs - pool.rateUpdatedAtMs;
     if (elapsedMs < rateUpdateIntervalMs) return;
     const perSecond = millisecondsPerSecond / elapsedMs;
-    pool.freedPerSecond = smoothRate(
+    pool.freedPerSecond = updateAverage(
       pool.freedPerSecond,
       pool.freedSlots * perSecond,
     );
-    pool.timelyPerSecond = smoothRate(
+    pool.timelyPerSecond = updateAverage(
       pool.timelyPerSecond,
       pool.timelyRequests * perSecond,
     );
@@ -653,7 +653,7 @@
 }
 
 /** Returns a moving average; the first rate above 0 counts in full. */
-function smoothRate(average: number, rate: number): number {
+function updateAverage(average: number, rate: number): number {
   return average === 0 ? rate : average + rateWeight * (rate - average);
 }
 
