--- a/packages/anvilhinge/src/entry/choice/dispatch_policy.ts
+++ b/packages/anvilhinge/src/entry/choice/dispatch_policy.ts
@@ -15,6 +15,7 @@
 import type * as metrics from "../../telemetry/metrics.ts";
 import type * as agentClient from "../session/agent_client.ts";
 import type * as session from "../session/session.ts";
+import * as sessionCore from "../session/session_core.ts";
 import * as upstreams from "./upstreams.ts";
 import * as workspaceLimits from "./workspace_limits.ts";
 
@@ -67,6 +68,12 @@
 }
 
 const stallCheckIntervalMs = 250;
+/**
+ * Maximum time without progress of an upstream. A session ends its attempt after
+ * its own stall time, and an upstream without attempts isn't watched.
+ */
+const maxStallDeadlineMs = sessionCore.defaultStallMs -
+  2 * stallCheckIntervalMs;
 /** Length of the decoded part of a body; covers the hashed prompt blocks. */
 const maxPrefixBytes = 16 * 1024;
 
@@ -121,7 +128,10 @@
     findLimits: options.findLimits,
     listMembers: options.listMembers,
   });
-  const watch = progressWatch.createProgressWatch({ clock });
+  const watch = progressWatch.createProgressWatch({
+    clock,
+    maxDeadlineMs: maxStallDeadlineMs,
+  });
   const budget = retryBudget.createRetryBudget({ clock });
   const table = upstreams.createUpstreamTable({
     clock,
--- a/packages/anvilhinge/src/entry/session/session_core.ts
+++ b/packages/anvilhinge/src/entry/session/session_core.ts
@@ -164,7 +164,8 @@
  * the upstreams have no agents.
  */
 const maxAttemptedUpstreams = 4;
-const defaultStallMs = 5_000;
+/** Default of the session's `stallMs`. */
+export const defaultStallMs = 5_000;
 /** Minimum delay of a slot request after a refusal. */
 const minSlotRetryMs = 100;
 /** Default of the session's `bufferLimitBytes`. */
