--- a/packages/anvilhinge/src/agent/ranks/map_rebalancer.ts
+++ b/packages/anvilhinge/src/agent/ranks/map_rebalancer.ts
@@ -93,6 +93,8 @@
  * report to other machines with a lag.
  */
 const urgentReadTimeoutMs = 800;
+/** Timeout of the read that confirms that a machine has not stopped. */
+const confirmTimeoutMs = 80;
 /** Timeout of the first read of all ranks of a stalled group. */
 const stalledReadTimeoutMs = 150;
 /**
@@ -618,16 +620,18 @@
     const timeoutMs = effect.kind === "read" ? readTimeoutMs : orderTimeoutMs;
     return { timeoutMs, route: "agent" };
   }
+  if (phase === "confirming") {
+    return { timeoutMs: confirmTimeoutMs, route: "agent" };
+  }
   if (effect.kind === "read") {
     return isExpectedSilent
       ? { timeoutMs: stalledReadTimeoutMs, route: "agent" }
       : { timeoutMs: urgentReadTimeoutMs, route: "either" };
   }
-  // No machine that stops while it sends the hold order then keeps the hold in
-  // place: neither the leader's, which knows that no rank is armed, nor the one
-  // of the held rank is involved.
-  const route = effect.order.kind === "hold" ? "third_rank" : "either";
-  return { timeoutMs: orderTimeoutMs, route };
+  const { sender } = effect;
+  return sender === undefined
+    ? { timeoutMs: orderTimeoutMs, route: "either" }
+    : { timeoutMs: orderTimeoutMs, route: "sender", sender };
 }
 
 function findHeldState(
--- a/packages/anvilhinge/src/agent/ranks/rank_call_router.ts
+++ b/packages/anvilhinge/src/agent/ranks/rank_call_router.ts
@@ -14,11 +14,8 @@
   | "agent"
   /** Through the agent, and directly to the engine if the agent is silent. */
   | "either"
-  /**
-   * To the engine, from the machine of a third rank: if that machine stops, this
-   * one still knows what it has ordered since, and the rank answers its agent.
-   */
-  | "third_rank";
+  /** To the engine, from the machine of the rank `sender`. */
+  | "sender";
 
 /** A call that the engine of the rank itself can execute. */
 export type DirectCall = Exclude<rankRpc.RankCall, { readonly kind: "relay" }>;
@@ -30,6 +27,8 @@
    */
   readonly timeoutMs: number;
   readonly route: CallRoute;
+  /** Rank from whose machine an order is sent, for the route `sender`. */
+  readonly sender?: number;
   /** Map in use, which shortens calls that contain a map. */
   readonly baseMap?: mapCalls.BaseMap;
 }
@@ -113,26 +112,17 @@
     });
   }
 
-  /** Chooses a third rank to send a call; undefined in a group of two. */
-  function chooseThirdRank(rank: number): rankPeers.RankPeer | undefined {
-    const own = peers.getOwn();
-    return peers.listLive().find(({ status }) =>
-      status.rank !== rank && status.rank !== own?.rank
-    );
-  }
-
   /**
-   * Sends an order from the machine of a third rank; undefined as soon as the
+   * Sends an order from the machine of another rank; undefined as soon as the
    * agent of that rank does not answer.
    */
-  async function sendFromThirdRank(
+  function sendFromRank(
     peer: rankPeers.RankPeer,
     call: rankRpc.OrderCall,
+    sender: rankPeers.RankPeer,
   ): Promise<rankRpc.RankAnswer | undefined> {
     const { rank } = peer.status;
-    const sender = chooseThirdRank(rank);
-    if (sender === undefined) return await sendToEngine(peer, call);
-    return await new Promise((resolve) => {
+    return new Promise((resolve) => {
       const engine = {
         async readReport() {
           const answer = await calls.call(peer.address, { kind: "report" }, {
@@ -154,7 +144,7 @@
   }
 
   async function sendCall(
-    ...[rank, call, { timeoutMs, route, baseMap }]: Parameters<CallRank>
+    ...[rank, call, { timeoutMs, route, sender, baseMap }]: Parameters<CallRank>
   ): ReturnType<CallRank> {
     if (rank === peers.getOwn()?.rank) return await calls.execute(call);
     const peer = peers.findLastSeen(rank);
@@ -166,10 +156,14 @@
           : undefined;
       case "either":
         return await sendToAgentOrEngine(peer, call, { timeoutMs, baseMap });
-      case "third_rank":
-        return call.kind === "order"
-          ? await sendFromThirdRank(peer, call)
-          : undefined;
+      case "sender": {
+        if (call.kind !== "order" || sender === undefined) return undefined;
+        if (sender === peers.getOwn()?.rank) {
+          return await sendToEngine(peer, call);
+        }
+        const senderPeer = peers.findLastSeen(sender);
+        return senderPeer && await sendFromRank(peer, call, senderPeer);
+      }
     }
   }
 
--- a/packages/coordination/src/maps/switch_round.ts
+++ b/packages/coordination/src/maps/switch_round.ts
@@ -28,7 +28,9 @@
  *   the rules above. Each hold protects switches to versions of the leader that
  *   placed it, and the rank at which it is found identifies the rank of that
  *   leader. A leader does not place holds at its own rank: a stalled machine
- *   would then leave a hold that no other leader can end.
+ *   would then leave a hold that no other leader can end. For the same reason
+ *   the order to hold is sent from the machine of a third rank, and no rank is
+ *   armed before that machine has answered once more.
  */
 import * as rankOrders from "./rank_orders.ts";
 
@@ -107,6 +109,8 @@
     readonly call: number;
     readonly rank: number;
     readonly order: rankOrders.RankOrder;
+    /** Rank from whose machine the order is sent; by default, any. */
+    readonly sender?: number;
   }
   /** Read a rank's state; `state` or `late` follows. */
   | { readonly kind: "read"; readonly call: number; readonly rank: number }
@@ -133,6 +137,8 @@
   /** Reads the current pass from the leader's own rank. */
   | "locating"
   | "holding"
+  /** Reads the rank from whose machine the hold was sent. */
+  | "confirming"
   /** Arms the rank of the leader that holds the pass. */
   | "opening"
   | "arming"
@@ -170,6 +176,14 @@
   return (leader + 1) % rankCount;
 }
 
+/**
+ * Returns the rank from whose machine a leader sends the order to hold a pass:
+ * its own in a group of one or two ranks.
+ */
+export function getHoldSender(leader: number, rankCount: number): number {
+  return rankCount > 2 ? (leader + 2) % rankCount : leader;
+}
+
 /** Returns the rank of the leader that places its holds at a rank. */
 export function getHoldLeader(heldRank: number, rankCount: number): number {
   return (heldRank + rankCount - 1) % rankCount;
@@ -277,9 +291,23 @@
     const leadPasses = options.computeLeadPasses(maxSendCount) * holdOrders;
     step = Math.max(latestStep + leadPasses, step + 1);
     if (step > latestStep + maxAheadPasses) return abort("Pass too far ahead");
+    phase = "holding";
+    call += 1;
+    const rank = getHoldRank(ownRank, rankCount);
+    pending = new Set([rank]);
     const order = { kind: "hold", step } as const;
-    const target = getHoldRank(ownRank, rankCount);
-    return sendOrders("holding", [target], () => order);
+    const sender = getHoldSender(ownRank, rankCount);
+    return [{ kind: "order", call, rank, order, sender }];
+  }
+
+  /** Reads the rank from whose machine the hold was sent. */
+  function confirmSender(): Effects {
+    const rank = getHoldSender(ownRank, rankCount);
+    if (rank === ownRank) return armLeader();
+    phase = "confirming";
+    call += 1;
+    pending = new Set([rank]);
+    return [{ kind: "read", call, rank }];
   }
 
   function armLeader(): Effects {
@@ -309,6 +337,8 @@
       case "locating":
         return holdPass();
       case "holding":
+        return confirmSender();
+      case "confirming":
         return armLeader();
       case "opening":
         return armOthers();
@@ -417,6 +447,8 @@
         return holdOrders < maxHoldOrders
           ? holdPass()
           : abort(`Could not hold the pass: ${reason}`);
+      case "confirming":
+        return withdrawHold(reason);
       case "opening":
       case "arming":
       case "looking":
@@ -442,7 +474,9 @@
   }
 
   function handleTimeout(rank: number): Effects {
-    if (phase === "holding") return withdrawHold("no answer to the order");
+    if (phase === "holding" || phase === "confirming") {
+      return withdrawHold("the machine that sent the order does not answer");
+    }
     const isOptional = phase === "looking" && rank === leaderRank;
     if (!isOptional) return handleFailure("a rank did not answer");
     states.delete(rank);
