--- a/packages/anvilhinge/src/entry/callers/routed_http.ts
+++ b/packages/anvilhinge/src/entry/callers/routed_http.ts
@@ -196,7 +196,6 @@
       priority: sessionRequest.priority,
       size: headers.size,
       deadlineAtMs: sessionRequest.deadlineAtMs,
-      callerTimeLeftMs,
     }, (event) => handleDecision(event));
     const sink = routedAnswer.createRoutedAnswerWriter(response, {
       isWhole: !isStream,
--- a/packages/anvilhinge/src/entry/choice/routed_policy.ts
+++ b/packages/anvilhinge/src/entry/choice/routed_policy.ts
@@ -18,7 +18,6 @@
 import type * as logger from "../../telemetry/logger.ts";
 import type * as routedMetrics from "../operators/routed_metrics.ts";
 import type * as session from "../session/session.ts";
-import * as callerAge from "./caller_age.ts";
 import * as slotCoordinator from "./slot_coordinator.ts";
 
 /** A request of a routed service that needs an upstream. */
@@ -30,8 +29,6 @@
   readonly priority: number;
   readonly size: callerDialect.RequestSize | undefined;
   readonly deadlineAtMs: number;
-  /** Time that the caller will still wait, as it states. */
-  readonly callerTimeLeftMs: number;
 }
 
 /** Called with the decision about a request that waits for a slot. */
@@ -193,7 +190,6 @@
       slots.reportRateLimit();
     },
   });
-  const ages = callerAge.createCallerAge({ clock });
   const windowSeconds = retries.windowMs / millisecondsPerSecond;
   // Burst and minimum rate together permit `extra` retries per window.
   const budget = retryBudget.createRetryBudget({
@@ -344,8 +340,6 @@
   ): RoutedRequestPolicy {
     const engine = services.get(request.service)?.engine;
     const arrivedAtMs = clock.now();
-    const { route } = request;
-    const ageMs = ages.estimate(route.name, request.callerTimeLeftMs);
     let slotRequestCount = 0;
     /** Open attempts by upstream id; a stalled attempt and its replacement. */
     const openAttempts = new Map<string, OpenAttempt>();
@@ -412,7 +406,7 @@
         promptTokens: request.size?.promptTokens ?? 0,
         answerTokens: request.size?.answerTokensHint ??
           request.size?.maxAnswerTokens ?? 0,
-        aimLeftMs: route.latencyTargetMs - ageMs - (nowMs - arrivedAtMs),
+        aimLeftMs: request.route.latencyTargetMs - (nowMs - arrivedAtMs),
         leftMs: request.deadlineAtMs - nowMs,
         avoided: [...attemptedIds, ...ejected],
       });
@@ -497,7 +491,6 @@
       services.clear();
       for (const spec of settings.services) services.set(spec.name, spec);
       routes = settings.routes;
-      ages.retain(new Set(routes.map(({ name }) => name)));
       updateSlots();
     },
     setUpstreams(listedUpstreams) {
