--- a/packages/coordination/src/maps/switch_round.ts
+++ b/packages/coordination/src/maps/switch_round.ts
@@ -301,7 +301,7 @@
   }
 
   /** Reads the rank from whose machine the hold was sent. */
-  function confirmSender(): Effects {
+  function verifySender(): Effects {
     const rank = getHoldSender(ownRank, rankCount);
     if (rank === ownRank) return armLeader();
     phase = "confirming";
@@ -337,7 +337,7 @@
       case "locating":
         return holdPass();
       case "holding":
-        return confirmSender();
+        return verifySender();
       case "confirming":
         return armLeader();
       case "opening":
