--- a/packages/anvilhinge/src/agent/ranks/map_rebalancer.ts
+++ b/packages/anvilhinge/src/agent/ranks/map_rebalancer.ts
@@ -308,7 +308,7 @@
 
       function getCall(
         effect: Exclude<switchRound.RoundEffect, { readonly kind: "finish" }>,
-      ): rankCallRouter.DirectCall {
+      ): rankRpc.RankCall {
         if (effect.kind === "read") return { kind: "report" };
         const { order } = effect;
         const call = orderCalls.get(order) ??
@@ -672,14 +672,14 @@
   { call, rank }: { readonly call: number; readonly rank: number },
 ): switchRound.RoundEvent {
   switch (answer?.kind) {
-    case "order":
-      return { kind: "outcome", call, rank, outcome: answer.outcome };
+    case "order": {
+      const { outcome, isSentElsewhere } = answer;
+      return { kind: "outcome", call, rank, outcome, isSentElsewhere };
+    }
     case "report":
     case "experts":
       return { kind: "state", call, state: answer.report.state };
     case "silent":
-    // Only the router relays orders.
-    case "relayed":
     case undefined:
       return { kind: "late", call, rank };
   }
--- a/packages/anvilhinge/src/agent/ranks/rank_agent.ts
+++ b/packages/anvilhinge/src/agent/ranks/rank_agent.ts
@@ -6,10 +6,13 @@
 import * as mapVersions from "@anvilhinge/coordination/maps/map_versions";
 import type * as datagrams from "../../adapters/datagrams.ts";
 import * as delay from "../../adapters/delay.ts";
+import * as orderRelay from "../../adapters/order_relay.ts";
+import type * as groupMessages from "../../ports/group_messages.ts";
 import type * as rankEngine from "../../ports/rank_engine.ts";
 import type * as scheduler from "../../ports/scheduler.ts";
 import type * as logger from "../../telemetry/logger.ts";
 import * as callStats from "./call_stats.ts";
+import * as entryLink from "./entry_link.ts";
 import * as remoteEngine from "./remote_engine.ts";
 import * as mapRebalancer from "./map_rebalancer.ts";
 import * as stallDetector from "./stall_detector.ts";
@@ -34,7 +37,10 @@
   | rankRpc.CallMessage
   | rankRpc.ReceivedMessage
   | rankRpc.PollMessage
-  | rankRpc.AnswerMessage;
+  | rankRpc.AnswerMessage
+  | groupMessages.GroupReceivedMessage
+  | groupMessages.RelayMessage
+  | groupMessages.RelayedMessage;
 
 export interface RankAgentOptions {
   /** Engine on the local machine. */
@@ -62,6 +68,8 @@
   readonly getSpec: () => GroupSpec | undefined;
   /** Lists the addresses at which other agents may listen. */
   readonly listAddresses: () => readonly string[];
+  /** Lists the addresses of the known entries; some may be down. */
+  readonly listEntries: () => readonly string[];
   /** Stops the agent when aborted. */
   readonly signal: AbortSignal;
 }
@@ -100,6 +108,9 @@
   "received",
   "poll",
   "answer",
+  "group_received",
+  "relay",
+  "relayed",
 ] satisfies readonly RankMessage["kind"][];
 
 /** Whether a datagram contains a message for an agent. */
@@ -120,12 +131,27 @@
     scheduler,
     sockets,
     measureMessage: options.measureMessage,
-    relayOrder: (call) => router.relayOrder(call),
     incarnation: options.incarnation,
     getRoundStep: () => rebalancer?.getRoundStep(),
     onCallEnd: stats.record,
   });
-  const router = rankCallRouter.createRankCallRouter({
+  const relays = orderRelay.createRelayClient({
+    sockets,
+    scheduler,
+    incarnation: options.incarnation,
+  });
+  const relay = orderRelay.createOrderRelay({
+    sockets,
+    openEngine: options.openEngine,
+  });
+  const entries = entryLink.createEntryLink({
+    sockets,
+    clock: scheduler,
+    listEntries: options.listEntries,
+  });
+  const callRank = rankCallRouter.createRankCallRouter({
+    relays,
+    findEntry: entries.findEntry,
     calls,
     peers,
     scheduler,
@@ -202,6 +228,7 @@
     peers.setOwn(status);
     sendStatus(status);
     updateLeadership(status);
+    if (isLeading) entries.report(status, peers.listRecent());
   }
 
   function updateLeadership(status: rankPeers.RankStatus): void {
@@ -263,7 +290,7 @@
       slots: group.slots,
       scheduler,
       logger,
-      callRank: router.callRank,
+      callRank,
       listPeers: peers.listRecent,
       takeCallSummary: stats.takeSummary,
       takeLoopDelayMs: options.takeLoopDelayMs,
@@ -300,6 +327,12 @@
           return calls.handlePoll(message, from);
         case "answer":
           return calls.handleAnswer(message, from);
+        case "group_received":
+          return entries.handleReceived(from);
+        case "relay":
+          return void relay.handle(message, from);
+        case "relayed":
+          return relays.handle(message);
       }
     },
   };
--- a/packages/anvilhinge/src/agent/ranks/rank_agent_test.ts
+++ b/packages/anvilhinge/src/agent/ranks/rank_agent_test.ts
@@ -114,6 +114,27 @@
     expectSingleMap(harness);
   });
 
+  it("hold passes from the machine of an entry, which may stop at any time", async () => {
+    const harness = rankGroupHarness.createRankGroupHarness({
+      rankCount,
+      hasEntry: true,
+    });
+    expect(await advanceToHold(harness, 5_000)).toBe(true);
+    // No agent sent the order.
+    expect(harness.getHoldSender()).toBe(-1);
+    harness.setEntryDown(true);
+    await harness.scheduler.advanceAsync(500);
+    expect(harness.isPassHeld()).toBe(false);
+    expect(harness.takeLongestStall()).toBeLessThan(400);
+    const before = harness.getMapVersion(0);
+    harness.shiftDemand();
+    await harness.scheduler.advanceAsync(4_000);
+    // Without the entry, a third rank sends the order.
+    expect(harness.getMapVersion(0)).toBeGreaterThan(before);
+    expect(harness.getHoldSender()).toBe(2);
+    expectSingleMap(harness);
+  });
+
   it("leave a leader alone whose status is late while it switches the map", async () => {
     const harness = rankGroupHarness.createRankGroupHarness({ rankCount });
     await harness.scheduler.advanceAsync(3_000);
--- a/packages/anvilhinge/src/agent/ranks/rank_call_router.ts
+++ b/packages/anvilhinge/src/agent/ranks/rank_call_router.ts
@@ -5,6 +5,7 @@
  */
 import type * as rankEngine from "../../ports/rank_engine.ts";
 import type * as scheduler from "../../ports/scheduler.ts";
+import type * as orderRelay from "../../adapters/order_relay.ts";
 import type * as mapCalls from "./map_calls.ts";
 import * as rankRpc from "./rank_rpc.ts";
 import type * as rankPeers from "./rank_peers.ts";
@@ -14,12 +15,9 @@
   | "agent"
   /** Through the agent, and directly to the engine if the agent is silent. */
   | "either"
-  /** To the engine, from the machine of the rank `sender`. */
+  /** To the engine, from an entry's machine or that of the rank `sender`. */
   | "sender";
 
-/** A call that the engine of the rank itself can execute. */
-export type DirectCall = Exclude<rankRpc.RankCall, { readonly kind: "relay" }>;
-
 export interface CallOptions {
   /**
    * Timeout of a call through an agent, in milliseconds. A call to the leader's
@@ -39,7 +37,7 @@
  */
 export type CallRank = (
   rank: number,
-  call: DirectCall,
+  call: rankRpc.RankCall,
   options: CallOptions,
 ) => Promise<rankRpc.RankAnswer | undefined>;
 
@@ -49,6 +47,9 @@
   readonly scheduler: scheduler.Scheduler;
   /** Opens the engine beside another agent; its reads are never stale. */
   readonly openEngine: (address: string) => rankEngine.RankEngine;
+  readonly relays: orderRelay.RelayClient;
+  /** Returns the address of an entry that answers. */
+  readonly findEntry: () => string | undefined;
 }
 
 /**
@@ -57,15 +58,10 @@
  */
 const agentAnswerTimeoutMs = 120;
 
-export interface RankCallRouter {
-  readonly callRank: CallRank;
-  readonly relayOrder: rankRpc.RankRpcOptions["relayOrder"];
-}
-
-/** Creates the functions with which a leader calls the ranks of its group. */
+/** Creates the function with which a leader calls the ranks of its group. */
 export function createRankCallRouter(
-  { calls, peers, scheduler, openEngine }: RankCallRouterOptions,
-): RankCallRouter {
+  { calls, peers, scheduler, openEngine, ...options }: RankCallRouterOptions,
+): CallRank {
   const engines = new Map<string, rankEngine.RankEngine>();
 
   function getEngine(address: string): rankEngine.RankEngine {
@@ -77,7 +73,7 @@
 
   function sendToEngine(
     { status }: rankPeers.RankPeer,
-    call: DirectCall,
+    call: rankRpc.RankCall,
   ): Promise<rankRpc.RankAnswer> {
     const engine = getEngine(status.engine);
     return rankRpc.executeCall(call, { engine, scheduler });
@@ -85,7 +81,7 @@
 
   function sendToAgentOrEngine(
     peer: rankPeers.RankPeer,
-    call: DirectCall,
+    call: rankRpc.RankCall,
     sendOptions: rankRpc.SendOptions,
   ): Promise<rankRpc.RankAnswer | undefined> {
     const { timeoutMs } = sendOptions;
@@ -113,15 +109,14 @@
   }
 
   /**
-   * Sends an order from the machine of another rank; undefined as soon as the
-   * agent of that rank does not answer.
+   * Sends an order from the machine of another process; undefined as soon as
+   * that process does not answer.
    */
-  function sendFromRank(
+  function sendFromElsewhere(
     peer: rankPeers.RankPeer,
     call: rankRpc.OrderCall,
-    sender: rankPeers.RankPeer,
-  ): Promise<rankRpc.RankAnswer | undefined> {
-    const { rank } = peer.status;
+    senderAddress: string,
+  ): Promise<Extract<rankRpc.RankAnswer, { kind: "order" }> | undefined> {
     return new Promise((resolve) => {
       const engine = {
         async readReport() {
@@ -131,18 +126,35 @@
           return answer?.kind === "report" ? answer.report : undefined;
         },
         async sendOrder() {
-          const relay = { ...call, kind: "relay", rank } as const;
-          const answer = await calls.call(sender.address, relay, {
-            timeoutMs: agentAnswerTimeoutMs,
-          });
-          if (answer === undefined) resolve(undefined);
-          return answer?.kind === "relayed" ? answer.reply : "unknown";
+          const { order, epoch } = call;
+          const { engine } = peer.status;
+          const relayed = { engine, order, epoch };
+          const reply = await options.relays.send(senderAddress, relayed);
+          if (reply === undefined) resolve(undefined);
+          return reply ?? "unknown";
         },
       };
       void rankRpc.executeOrder(call, { engine, scheduler }).then(resolve);
     });
   }
 
+  /** Sends an order from an entry's machine if possible. */
+  async function sendFromSender(
+    peer: rankPeers.RankPeer,
+    call: rankRpc.OrderCall,
+    sender: number,
+  ): Promise<rankRpc.RankAnswer | undefined> {
+    const entry = options.findEntry();
+    if (entry !== undefined) {
+      const answer = await sendFromElsewhere(peer, call, entry);
+      return answer && { ...answer, isSentElsewhere: true };
+    }
+    if (sender === peers.getOwn()?.rank) return await sendToEngine(peer, call);
+    const senderPeer = peers.findLastSeen(sender);
+    return senderPeer &&
+      await sendFromElsewhere(peer, call, senderPeer.address);
+  }
+
   async function sendCall(
     ...[rank, call, { timeoutMs, route, sender, baseMap }]: Parameters<CallRank>
   ): ReturnType<CallRank> {
@@ -156,24 +168,12 @@
           : undefined;
       case "either":
         return await sendToAgentOrEngine(peer, call, { timeoutMs, baseMap });
-      case "sender": {
-        if (call.kind !== "order" || sender === undefined) return undefined;
-        if (sender === peers.getOwn()?.rank) {
-          return await sendToEngine(peer, call);
-        }
-        const senderPeer = peers.findLastSeen(sender);
-        return senderPeer && await sendFromRank(peer, call, senderPeer);
-      }
+      case "sender":
+        return call.kind === "order" && sender !== undefined
+          ? await sendFromSender(peer, call, sender)
+          : undefined;
     }
   }
 
-  return {
-    callRank: sendCall,
-    async relayOrder({ rank, order, epoch }) {
-      const peer = peers.findLastSeen(rank);
-      return peer === undefined
-        ? "refused"
-        : await getEngine(peer.status.engine).sendOrder(order, epoch);
-    },
-  };
+  return sendCall;
 }
--- a/packages/anvilhinge/src/agent/ranks/rank_rpc.ts
+++ b/packages/anvilhinge/src/agent/ranks/rank_rpc.ts
@@ -22,8 +22,7 @@
 export type RankCall =
   | { readonly kind: "report" }
   | { readonly kind: "experts" }
-  | OrderCall
-  | RelayCall;
+  | OrderCall;
 
 export interface OrderCall {
   readonly kind: "order";
@@ -31,12 +30,6 @@
   readonly epoch: number;
 }
 
-/** Send an order once, directly to the engine of another rank. */
-export interface RelayCall extends Omit<OrderCall, "kind"> {
-  readonly kind: "relay";
-  readonly rank: number;
-}
-
 interface ReportAnswer {
   readonly kind: "report";
   readonly report: rankEngine.RankReport;
@@ -52,9 +45,12 @@
 export type RankAnswer =
   | ReportAnswer
   | ExpertsAnswer
-  | { readonly kind: "order"; readonly outcome: rankOrders.OrderOutcome }
-  /** Answer to a relayed order. */
-  | { readonly kind: "relayed"; readonly reply: rankOrders.OrderReply }
+  | {
+    readonly kind: "order";
+    readonly outcome: rankOrders.OrderOutcome;
+    /** Whether the order was sent from a machine that has no rank. */
+    readonly isSentElsewhere?: boolean;
+  }
   /** The engine did not answer. */
   | { readonly kind: "silent" };
 
@@ -98,8 +94,6 @@
   readonly measureMessage: (message: object) => number;
   /** Makes the ids of this process's calls unique. */
   readonly incarnation: string;
-  /** Sends an order once, directly to the engine of another rank. */
-  readonly relayOrder: (call: RelayCall) => Promise<rankOrders.OrderReply>;
   /** Returns the pass whose hold a round of this agent uses. */
   readonly getRoundStep: () => number | undefined;
   /** Called at the end of each call to another agent. */
@@ -148,7 +142,7 @@
 
 /** Executes a call at the local engine or at a remote one. */
 export async function executeCall(
-  call: Exclude<RankCall, { readonly kind: "relay" }>,
+  call: RankCall,
   { engine, scheduler }: Pick<RankRpcOptions, "engine" | "scheduler">,
 ): Promise<RankAnswer> {
   switch (call.kind) {
@@ -178,7 +172,7 @@
   { engine, scheduler }:
     & Pick<RankRpcOptions, "scheduler">
     & Pick<orderRunner.RunOrderOptions, "engine">,
-): Promise<RankAnswer> {
+): Promise<Extract<RankAnswer, { readonly kind: "order" }>> {
   const outcome = await orderRunner.runOrder({
     engine,
     scheduler,
@@ -224,9 +218,6 @@
   let callCount = 0;
 
   async function execute(call: RankCall): Promise<RankAnswer> {
-    if (call.kind === "relay") {
-      return { kind: "relayed", reply: await options.relayOrder(call) };
-    }
     const answer = await executeCall(call, { engine, scheduler });
     return answer.kind === "report" || answer.kind === "experts"
       ? { ...answer, roundStep: options.getRoundStep() }
--- a/packages/anvilhinge/src/agent/routed_agent.ts
+++ b/packages/anvilhinge/src/agent/routed_agent.ts
@@ -62,6 +62,10 @@
   });
   // The address at which the other agents reach this agent.
   const ownAddress = hostPort.parseAddress(settings.peers);
+  // Entries listen on the same port as agents.
+  const entryAddresses = settings.seeds.map((seed) =>
+    `${hostPort.parseAddress(seed).host}:${ownAddress.port}`
+  );
   let addresses: readonly string[] = [];
   let spec: rankAgent.GroupSpec | undefined;
   // Set once the rank agent exists; earlier messages are dropped.
@@ -149,6 +153,7 @@
     takeLoopDelayMs: loopDelay.createLoopDelayMeter({ signal }),
     getSpec: () => spec,
     listAddresses: () => addresses,
+    listEntries: () => entryAddresses,
     signal,
   }));
   await abortSignal.waitForAbort(stopSignal);
--- a/packages/anvilhinge/src/entry/choice/routed_policy.ts
+++ b/packages/anvilhinge/src/entry/choice/routed_policy.ts
@@ -4,6 +4,7 @@
  * another attempt. A slot is a unit of an upstream's concurrency.
  */
 import type * as clockPort from "@anvilhinge/coordination/clock";
+import * as groupReports from "@anvilhinge/coordination/dispatch/group_reports";
 import * as rateLimits from "@anvilhinge/coordination/dispatch/rate_limits";
 import type * as workHub from "@anvilhinge/coordination/dispatch/work_hub";
 import type * as work from "@anvilhinge/coordination/dispatch/work";
@@ -18,6 +19,7 @@
 import type * as logger from "../../telemetry/logger.ts";
 import type * as routedMetrics from "../operators/routed_metrics.ts";
 import type * as session from "../session/session.ts";
+import * as groupLink from "./group_link.ts";
 import * as slotCoordinator from "./slot_coordinator.ts";
 
 /** A request of a routed service that needs an upstream. */
@@ -93,6 +95,10 @@
     message: slotCoordinator.DispatchMessage,
     senderAddress: string,
   ): void;
+  handleGroupMessage(
+    message: groupLink.GroupLinkMessage,
+    senderAddress: string,
+  ): void;
   /** Records what an answer says about the rate limit of its upstream. */
   recordRateLimit(observation: rateLimits.RateLimitObservation): void;
   countRetriesLeft(): number;
@@ -124,6 +130,8 @@
     "recordRetry" | "recordDecision" | "recordLimitedDispatch"
   >;
   readonly sockets: datagrams.Datagrams;
+  /** Opens the engine of an upstream, to send it orders of agents. */
+  readonly openEngine: groupLink.GroupLinkOptions["openEngine"];
   readonly signal: AbortSignal;
 }
 
@@ -199,6 +207,13 @@
     minPerSecond: usedBudgetShare * retries.extra / 2 / windowSeconds,
     readFraction: () => 1 / Math.max(1, options.members.countEntries()),
   });
+  const groups = groupReports.createGroupReports({ clock });
+  const groupMessages = groupLink.createGroupLink({
+    members: options.members,
+    groups,
+    sockets: options.sockets,
+    openEngine: options.openEngine,
+  });
   const slots = slotCoordinator.startSlotCoordinator({
     entryId: options.entryId,
     failureDomain: options.failureDomain,
@@ -209,6 +224,7 @@
     sockets: options.sockets,
     logger: options.logger,
     rateLimits: limits,
+    groups,
     signal: options.signal,
     onEvent: handleEvent,
   });
@@ -283,6 +299,7 @@
         )
         .map(({ listed }) => ({
           id: listed.id,
+          address: listed.address,
           pool: listed.service,
           failureDomain: listed.failureDomain,
           slots: listed.slots,
@@ -522,6 +539,7 @@
     },
     startRequest,
     handleMessage: slots.handle,
+    handleGroupMessage: groupMessages.handle,
     recordRateLimit: limits.observe,
     countRetriesLeft: budget.count,
     countLimitedUpstreams: () => limits.list().length,
--- a/packages/anvilhinge/src/entry/choice/routed_policy_test.ts
+++ b/packages/anvilhinge/src/entry/choice/routed_policy_test.ts
@@ -104,6 +104,7 @@
       recordLimitedDispatch() {},
     },
     sockets: { send() {} },
+    openEngine: () => ({ sendOrder: () => Promise.resolve("refused") }),
     signal: abort.signal,
   });
   policy.setRouting(settings);
--- a/packages/anvilhinge/src/entry/choice/slot_coordinator.ts
+++ b/packages/anvilhinge/src/entry/choice/slot_coordinator.ts
@@ -6,6 +6,7 @@
  */
 import type * as clock from "@anvilhinge/coordination/clock";
 import type * as random from "@anvilhinge/coordination/random";
+import type * as groupReports from "@anvilhinge/coordination/dispatch/group_reports";
 import type * as rateLimits from "@anvilhinge/coordination/dispatch/rate_limits";
 import type * as work from "@anvilhinge/coordination/dispatch/work";
 import * as workClient from "@anvilhinge/coordination/dispatch/work_client";
@@ -35,6 +36,8 @@
   readonly logger: logger.Logger;
   /** Table of this entry, exchanged with the hub. */
   readonly rateLimits: rateLimits.RateLimits;
+  /** Reports of the groups of upstreams; none by default. */
+  readonly groups?: groupReports.GroupReports;
   readonly signal: AbortSignal;
   readonly onEvent: (event: workClient.WorkEvent) => void;
 }
@@ -93,6 +96,7 @@
     clock: scheduler,
     random: options.random,
     rateLimits: options.rateLimits,
+    groups: options.groups,
     readReachableShare: members.computeReachableShare,
   });
   /** Addresses of the entries that sent their state to this hub, by id. */
--- a/packages/anvilhinge/src/entry/routed_entry.ts
+++ b/packages/anvilhinge/src/entry/routed_entry.ts
@@ -14,12 +14,14 @@
 import * as systemScheduler from "../adapters/system_scheduler.ts";
 import type * as callerDialect from "../ports/caller_dialect.ts";
 import type * as objectStore from "../ports/object_store.ts";
+import type * as rankEngine from "../ports/rank_engine.ts";
 import type * as upstreamDialect from "../ports/upstream_dialect.ts";
 import * as reload from "../settings/reload.ts";
 import type * as routedProcess from "../settings/routed_process.ts";
 import * as routedLogger from "../telemetry/routed_logger.ts";
 import * as metrics from "../telemetry/metrics.ts";
 import * as routedHttp from "./callers/routed_http.ts";
+import type * as groupLink from "./choice/group_link.ts";
 import type * as slotCoordinator from "./choice/slot_coordinator.ts";
 import * as routedPolicy from "./choice/routed_policy.ts";
 import * as rosterNode from "./control/roster_node.ts";
@@ -49,6 +51,9 @@
   readonly source: routingView.RoutingSource;
   readonly callerDialect: callerDialect.CallerDialect;
   readonly upstreamDialect: upstreamDialect.UpstreamDialect;
+  createRankEngine(
+    options: rankEngine.RankEngineOptions,
+  ): rankEngine.RankEngine;
   createReadinessHandler(status: EntryStatus): http.RequestListener;
   createDirectoryHandler(status: EntryStatus): http.RequestListener;
 }
@@ -75,15 +80,22 @@
 /** Time before the forced end of the process, reserved for closing servers. */
 const stopReserveMs = 400;
 const drainPollIntervalMs = 20;
+/** Timeout of orders that the entry sends to an engine for an agent. */
+const engineTimeoutMs = 80;
 const maxHeaderBytes = 64 * 1024;
 
-type Message = rosterNode.RosterMessage | slotCoordinator.DispatchMessage;
+type Message =
+  | rosterNode.RosterMessage
+  | slotCoordinator.DispatchMessage
+  | groupLink.GroupLinkMessage;
 
 const messageKinds: readonly unknown[] = [
   "hello",
   "roster",
   "work",
   "decisions",
+  "group",
+  "relay",
 ] satisfies readonly Message["kind"][];
 
 function isMessage(message: unknown): message is Message {
@@ -209,6 +221,13 @@
     logger: log,
     metrics: entryMetrics,
     sockets,
+    openEngine: (address) =>
+      platform.createRankEngine({
+        address,
+        readTimeoutMs: engineTimeoutMs,
+        orderTimeoutMs: engineTimeoutMs,
+        signal: abort.signal,
+      }),
     signal: abort.signal,
   });
   let setReady: () => void = () => {};
@@ -323,6 +342,9 @@
       case "work":
       case "decisions":
         return policy.handleMessage(message, from);
+      case "group":
+      case "relay":
+        return policy.handleGroupMessage(message, from);
     }
   };
   reload.followSettings({
--- a/packages/anvilhinge/src/testing/rank_group_harness.ts
+++ b/packages/anvilhinge/src/testing/rank_group_harness.ts
@@ -4,8 +4,10 @@
  * agents. The test advances the time and can pause or cut off agents.
  */
 import * as boundedPlanner from "@anvilhinge/coordination/maps/bounded_planner";
+import * as groupReports from "@anvilhinge/coordination/dispatch/group_reports";
 import type * as rankOrders from "@anvilhinge/coordination/maps/rank_orders";
 import * as datagrams from "../adapters/datagrams.ts";
+import * as groupLink from "../entry/choice/group_link.ts";
 import * as rankAgent from "../agent/ranks/rank_agent.ts";
 import type * as rankEngine from "../ports/rank_engine.ts";
 import type * as scheduler from "../ports/scheduler.ts";
@@ -48,6 +50,11 @@
    * @default Infinity
    */
   readonly linkQueueBytes?: number;
+  /**
+   * Whether the agents know an entry.
+   * @default false
+   */
+  readonly hasEntry?: boolean;
 }
 
 export interface RankGroupHarness {
@@ -79,6 +86,8 @@
   setStatusLost(rank: number, isLost: boolean): void;
   /** Returns the rank of the agent that sent the last order to hold a pass. */
   getHoldSender(): number | undefined;
+  /** Stops the entry that answers the agents, or starts it again. */
+  setEntryDown(isDown: boolean): void;
   /** Sets the time for a unit of work of a rank, relative to a sound rank. */
   setPace(rank: number, pace: number): void;
   /** Returns the skew of the map in use under the current demand and paces. */
@@ -114,6 +123,7 @@
 /** Interval between the starts of forward passes. */
 const passMs = 40;
 const epoch = 1;
+const entryAddress = "entry:1";
 /** One-way network latency. */
 const latencyMs = 1;
 /** Headers of a datagram on the link. */
@@ -422,7 +432,8 @@
   const agents: rankAgent.RankAgent[] = [];
   const getAddress = (rank: number) => `rank-${rank}:1`;
 
-  function sendDatagram(from: number, message: unknown, address: string): void {
+  function sendDatagram(from: number, message: object, address: string): void {
+    if (address === entryAddress) return sendToEntry(from, message);
     const to = engines.findIndex((_, rank) => getAddress(rank) === address);
     if (random() < lossProbability || !rankAgent.isRankMessage(message)) return;
     if (message.kind === "status" && processes[from]!.isStatusLost) return;
@@ -436,6 +447,54 @@
     }, { delayMs });
   }
 
+  const entryProcess: Process = {
+    isPaused: false,
+    isStatusLost: false,
+    isCutOff: false,
+    deferred: [],
+  };
+  const entry = groupLink.createGroupLink({
+    members: {
+      getHub: () => ({ id: "entry", address: entryAddress }),
+      isHub: () => true,
+    },
+    groups: groupReports.createGroupReports({ clock: manual }),
+    sockets: {
+      send(message, address) {
+        const rank = Number(/\d+/.exec(address)?.[0]);
+        if (!rankAgent.isRankMessage(message)) return;
+        manual.schedule(
+          () =>
+            runInProcess(
+              processes[rank]!,
+              () => agents[rank]?.handleMessage(message, entryAddress),
+            ),
+          {
+            delayMs: latencyMs,
+          },
+        );
+      },
+    },
+    openEngine: (address) =>
+      createEngine(Number(/\d+/.exec(address)?.[0]), {
+        process: entryProcess,
+        isRemote: true,
+      }),
+  });
+
+  function sendToEntry(from: number, message: unknown): void {
+    if (entryProcess.isPaused) return;
+    const toEntry = message as groupLink.GroupLinkMessage;
+    manual.schedule(
+      () =>
+        runInProcess(
+          entryProcess,
+          () => entry.handle(toEntry, getAddress(from)),
+        ),
+      { delayMs: latencyMs },
+    );
+  }
+
   function startAgent(rank: number): rankAgent.RankAgent {
     const process = processes[rank]!;
     const processScheduler: scheduler.Scheduler = {
@@ -482,6 +541,7 @@
       }),
       listAddresses: () =>
         engines.flatMap((_, other) => other === rank ? [] : getAddress(other)),
+      listEntries: () => options.hasEntry ? [entryAddress] : [],
       signal: new AbortController().signal,
     });
   }
@@ -529,6 +589,9 @@
       processes[rank]!.isStatusLost = isLost;
     },
     getHoldSender: () => holdSender,
+    setEntryDown(isDown) {
+      entryProcess.isPaused = isDown;
+    },
     shiftDemand() {
       demand = drawDemand(layerCount, expertCount);
     },
--- a/packages/coordination/src/dispatch/work.ts
+++ b/packages/coordination/src/dispatch/work.ts
@@ -115,6 +115,8 @@
 /** Capacity and location of an upstream. */
 export interface UpstreamSpec {
   readonly id: string;
+  /** Address as `host:port`, by which its group's reports name it. */
+  readonly address?: string;
   readonly pool: string;
   readonly failureDomain: string;
   /** Number of requests that it processes concurrently. */
--- a/packages/coordination/src/dispatch/work_hub.ts
+++ b/packages/coordination/src/dispatch/work_hub.ts
@@ -10,7 +10,11 @@
  *   stays below its target duration. The limit is computed from the highest
  *   recent cost per request, which is the pass time that each running request
  *   adds. All streams of a group wait for its passes, so a single excess
- *   request makes all of them late.
+ *   request makes all of them late. If a slow upstream alone makes the passes of
+ *   all groups too long, no limit helps, and all slots are used.
+ * - A slow upstream gets requests only if the others of its group are much more
+ *   loaded, as all of them wait for it. A group that has stopped passing gets
+ *   none.
  * - Requests that can still meet their target time for the first event precede
  *   those that cannot, given the time that answers take to begin. Within both,
  *   the order is by priority, then by fewest slots of the workspace, then by age.
@@ -27,6 +31,7 @@
 import type * as clock from "../clock.ts";
 import type * as random from "../random.ts";
 import * as firstPartEstimate from "./first_part_estimate.ts";
+import * as groupReports from "./group_reports.ts";
 import * as rateBudget from "./rate_budget.ts";
 import * as rateLimits from "./rate_limits.ts";
 import * as work from "./work.ts";
@@ -48,6 +53,8 @@
   readonly stateTtlMs?: number;
   /** Rate limits of the upstreams; by default, those that the states report. */
   readonly rateLimits?: rateLimits.RateLimits;
+  /** Reports of the groups of upstreams; none by default. */
+  readonly groups?: groupReports.GroupReports;
   /**
    * Returns the share of the entries that this hub can reach, from 0 to 1.
    * @default () => 1
@@ -160,6 +167,15 @@
 const minSampleShare = 0.2;
 /** Minimum limit of a pool, as a share of its slots. */
 const minLimitShare = 0.65;
+/** The same while a slow upstream is known to be what makes passes long. */
+const minSlowLimitShare = 0.4;
+/**
+ * Part of the target that passes without requests may take; above it, the cost of
+ * a few requests exceeds the rest.
+ */
+const maxBaseShare = 0.9;
+/** Requests by which a pace of 2 makes an upstream seem more loaded. */
+const slowWeight = 8;
 /**
  * Passes longer than the target by this factor may include the wait of a switch
  * round, in which the group changes to another expert map.
@@ -183,6 +199,7 @@
   const entries = new Map<string, EntryState>();
   const pools = new Map<string, PoolState>();
   const limits = options.rateLimits ?? rateLimits.createRateLimits({ clock });
+  const groups = options.groups ?? groupReports.createGroupReports({ clock });
   const budget = rateBudget.createRateBudget({
     clock,
     limits,
@@ -262,9 +279,10 @@
     const running = countUsedSlots(pool);
     if (running < minSampleShare * countSlots(pool)) return;
     // A cost above this cap would not lower the limit, only delay its recovery.
-    const costCap = (spec.targetPassMs - spec.basePassMs) /
-      (minLimitShare * countSlots(pool));
-    const measured = Math.max(0, passMs - spec.basePassMs) / running;
+    const basePassMs = computeBasePass(pool, spec);
+    const costCap = Math.max(0, spec.targetPassMs - basePassMs) /
+      (computeMinLimitShare(pool) * countSlots(pool));
+    const measured = Math.max(0, passMs - basePassMs) / running;
     const cost = Math.min(costCap, measured);
     if (cost <= computeMaxCost(pool)) return;
     pool.maxCostMs = cost;
@@ -276,16 +294,49 @@
     const slots = countSlots(pool);
     const cost = computeMaxCost(pool);
     if (pool.spec === undefined || cost === 0) return slots;
-    const { targetPassMs, basePassMs } = pool.spec;
+    const { targetPassMs } = pool.spec;
+    const basePassMs = computeBasePass(pool, pool.spec);
+    if (basePassMs > maxBaseShare * targetPassMs) return slots;
     const limit = Math.floor((targetPassMs - basePassMs) / cost);
-    return Math.min(slots, Math.max(minLimitShare * slots, limit));
+    return Math.min(slots, Math.max(computeMinLimitShare(pool) * slots, limit));
+  }
+
+  /** Returns the lowest pace of the groups of a pool. */
+  function findLowestPace({ upstreams }: PoolState): number {
+    return Math.min(
+      ...upstreams.map(({ address }) =>
+        address === undefined ? 1 : groups.getGroupPace(address)
+      ),
+    );
+  }
+
+  /** Computes the duration of a pass without requests. */
+  function computeBasePass(
+    pool: PoolState,
+    { basePassMs }: work.PoolSpec,
+  ): number {
+    return basePassMs * findLowestPace(pool);
+  }
+
+  function computeMinLimitShare(pool: PoolState): number {
+    return findLowestPace(pool) > 1 ? minSlowLimitShare : minLimitShare;
   }
 
   /** Computes the load by which upstreams with free slots are compared. */
-  function computeLoad(upstream: work.UpstreamSpec): number {
-    const load = usage.get(upstream.id);
-    if (load === undefined) return 0;
-    return load.requests + load.tokens / tokensPerRequest;
+  function computeLoad({ id, address }: work.UpstreamSpec): number {
+    const load = usage.get(id);
+    const ownLoad = load === undefined
+      ? 0
+      : load.requests + load.tokens / tokensPerRequest;
+    if (address === undefined) return ownLoad;
+    // A slow upstream slows its group, and itself more than the others of it.
+    const excessPace = groups.getPace(address) + groups.getGroupPace(address) -
+      2;
+    return ownLoad + slowWeight * excessPace;
+  }
+
+  function isStalled({ address }: work.UpstreamSpec): boolean {
+    return address !== undefined && groups.isStalled(address);
   }
 
   function chooseUpstream(
@@ -369,7 +420,9 @@
     let remaining = computeLimit(pool) - countUsedSlots(pool);
     const queue = listQueue(poolName);
     if (queue.length === 0) return;
-    const usable = pool.upstreams.filter(({ id }) => budget.hasToken(id));
+    const usable = pool.upstreams.filter((upstream) =>
+      budget.hasToken(upstream.id) && !isStalled(upstream)
+    );
     if (usable.length === 0) return;
     for (const request of queue) {
       if (remaining < 1) return;
--- a/packages/coordination/src/maps/switch_round.ts
+++ b/packages/coordination/src/maps/switch_round.ts
@@ -29,8 +29,9 @@
  *   placed it, and the rank at which it is found identifies the rank of that
  *   leader. A leader does not place holds at its own rank: a stalled machine
  *   would then leave a hold that no other leader can end. For the same reason
- *   the order to hold is sent from the machine of a third rank, and no rank is
- *   armed before that machine has answered once more.
+ *   the order to hold is sent from a machine that has no rank or, if none can
+ *   be reached, from that of a third rank; then no rank is armed before that
+ *   machine has answered once more.
  */
 import * as rankOrders from "./rank_orders.ts";
 
@@ -98,6 +99,11 @@
     readonly call: number;
     readonly rank: number;
     readonly outcome: rankOrders.OrderOutcome;
+    /**
+     * Whether the order was sent from a machine that has no rank; the round does
+     * not depend on that machine.
+     */
+    readonly isSentElsewhere?: boolean;
   }
   /** A call timed out, or the engine of the rank did not answer. */
   | { readonly kind: "late"; readonly call: number; readonly rank: number };
@@ -109,7 +115,10 @@
     readonly call: number;
     readonly rank: number;
     readonly order: rankOrders.RankOrder;
-    /** Rank from whose machine the order is sent; by default, any. */
+    /**
+     * Rank from whose machine the order is sent, unless it is sent from a machine
+     * without a rank; by default, any.
+     */
     readonly sender?: number;
   }
   /** Read a rank's state; `state` or `late` follows. */
@@ -198,6 +207,8 @@
   let call = 0;
   let reads = 0;
   let holdOrders = 0;
+  /** Whether the last order was sent from a machine that has no rank. */
+  let isSentElsewhere = false;
   let maxSendCount = 0;
   let version = 0;
   /** Version that was observed as armed before the last read of all ranks. */
@@ -303,7 +314,7 @@
   /** Reads the rank from whose machine the hold was sent. */
   function verifySender(): Effects {
     const rank = getHoldSender(ownRank, rankCount);
-    if (rank === ownRank) return armLeader();
+    if (isSentElsewhere || rank === ownRank) return armLeader();
     phase = "confirming";
     call += 1;
     pending = new Set([rank]);
@@ -421,9 +432,10 @@
   }
 
   function handleOutcome(
-    rank: number,
-    outcome: rankOrders.OrderOutcome,
+    event: Extract<RoundEvent, { readonly kind: "outcome" }>,
   ): Effects {
+    const { rank, outcome } = event;
+    isSentElsewhere = event.isSentElsewhere ?? false;
     if (outcome.kind !== "unsettled" && outcome.state !== undefined) {
       if (outcome.state.epoch !== options.epoch) return abort("Epoch changed");
       states.set(rank, outcome.state);
@@ -507,7 +519,7 @@
           return handleState(event.state);
         case "outcome":
           if (event.call !== call || !pending.has(event.rank)) return [];
-          return handleOutcome(event.rank, event.outcome);
+          return handleOutcome(event);
         case "late":
           if (event.call !== call || !pending.has(event.rank)) return [];
           return handleTimeout(event.rank);
