--- a/packages/anvilhinge/src/agent/ranks/map_rebalancer.ts
+++ b/packages/anvilhinge/src/agent/ranks/map_rebalancer.ts
@@ -5,38 +5,22 @@
  */
 import * as boundedPlanner from "@anvilhinge/coordination/maps/bounded_planner";
 import * as countsWindow from "@anvilhinge/coordination/maps/counts_window";
-import * as mapVersions from "@anvilhinge/coordination/maps/map_versions";
-import type * as rankOrders from "@anvilhinge/coordination/maps/rank_orders";
-import * as switchRound from "@anvilhinge/coordination/maps/switch_round";
 import type * as rankEngine from "../../ports/rank_engine.ts";
-import type * as scheduler from "../../ports/scheduler.ts";
 import type * as routing from "../../settings/routing.ts";
 import type * as logger from "../../telemetry/logger.ts";
-import type * as callStats from "./call_stats.ts";
-import type * as rankRpc from "./rank_rpc.ts";
+import * as groupReader from "./group_reader.ts";
 import type * as rankPeers from "./rank_peers.ts";
 import type * as rankCallRouter from "./rank_call_router.ts";
+import * as roundRunner from "./round_runner.ts";
 
-export interface MapRebalancerOptions {
+export interface MapRebalancerOptions extends roundRunner.RoundRunnerOptions {
   readonly engine: rankEngine.RankEngine;
   readonly experts: routing.ExpertSpec;
   /** Requests that one rank runs concurrently. */
   readonly slots: number;
-  readonly scheduler: scheduler.Scheduler;
   readonly logger: logger.Logger;
-  readonly callRank: rankCallRouter.CallRank;
   /** Lists the recently seen agents of the group. */
   readonly listPeers: () => readonly rankPeers.RankPeer[];
-  /** Returns the statistics of the calls since the previous ones. */
-  readonly takeCallSummary: () => callStats.CallSummary;
-  /** Returns the longest delay of the event loop since the previous call. */
-  readonly takeLoopDelayMs: () => number;
-  readonly createVersion: mapVersions.CreateMapVersion;
-  /**
-   * Whether no earlier process of this rank can have led in the epoch and held
-   * passes in it.
-   */
-  readonly isEpochNew: (epoch: number) => boolean;
   /** Maximum number of experts that one rank copies for one switch. */
   readonly maxCopiesPerRank: number;
 }
@@ -56,47 +40,11 @@
   reset(): void;
 }
 
-/** Report and experts of a rank, read in one call. */
-type RankSnapshot = Extract<rankRpc.RankAnswer, { readonly kind: "experts" }>;
-
-/** Snapshots by rank; undefined for a rank that did not answer. */
-type GroupSnapshot = readonly (RankSnapshot | undefined)[];
-
-/** Result of a switch round. */
-interface RoundResult {
-  readonly outcome: switchRound.RoundOutcome;
-  /** Time spent in each phase, in milliseconds. */
-  readonly phaseMs: Readonly<Partial<Record<switchRound.RoundPhase, number>>>;
-  /** The call that took longest. */
-  readonly slowest: SlowestCall | undefined;
-  readonly calls: callStats.CallSummary;
-  readonly loopDelayMs: number;
-}
-
-interface SlowestCall {
-  readonly rank: number;
-  readonly phase: switchRound.RoundPhase;
-  readonly tookMs: number;
-  readonly answer: string;
-}
-
-/** Expert map that the group uses. */
-interface GroupMap {
-  readonly epoch: number;
-  readonly version: number;
-  readonly layers: rankOrders.MapLayers;
-}
-
-const readTimeoutMs = 250;
-/**
- * Timeout of a read that may bypass a silent agent; longer, because engines
- * report to other machines with a lag.
- */
-const urgentReadTimeoutMs = 800;
-/** Timeout of the read that confirms that a machine has not stopped. */
-const confirmTimeoutMs = 80;
-/** Timeout of the first read of all ranks of a stalled group. */
-const stalledReadTimeoutMs = 150;
+/** Read of a rank before anything is held. */
+const plannedRead: rankCallRouter.CallOptions = {
+  timeoutMs: 250,
+  route: "agent",
+};
 /**
  * Time without a new forward pass after which a busy group is checked for a
  * hold.
@@ -106,8 +54,6 @@
 const stallThresholdPasses = 4;
 /** Time for which no round needs to hold a pass of an idle group. */
 const abandonedHoldMs = 1_000;
-/** Longer than an agent spends on one order (see `rank_rpc.ts`). */
-const orderTimeoutMs = 2_600;
 /**
  * Skew above which a switch is worth its expert copies, for idle and for fully
  * occupied ranks: a pass with few requests is short whatever the skew. 1.3 is
@@ -140,6 +86,8 @@
   options: MapRebalancerOptions,
 ): MapRebalancer {
   const { engine, experts, scheduler, logger } = options;
+  const reader = groupReader.createGroupReader(options);
+  const rounds = roundRunner.createRoundRunner(options);
   const window = countsWindow.createCountsWindow({
     layerCount: experts.sets,
     expertCount: experts.expertsPerSet,
@@ -152,15 +100,12 @@
     | { readonly step: number; readonly atMs: number }
     | undefined;
   let lossUntilMs = -Infinity;
-  let lastHeldStep: number | undefined;
   let enteredEpoch: number | undefined;
   let countsEpoch: number | undefined;
   let pausedUntilMs = -Infinity;
   /** Map that the group uses or, until `switchStep`, will use. */
-  let groupMap: GroupMap | undefined;
+  let groupMap: groupReader.GroupMap | undefined;
   let loggedAtMs = -Infinity;
-  /** The last round, finished or not. */
-  let round: switchRound.SwitchRound | undefined;
   /** Hold at this agent's rank, and when it was first seen. */
   let ownHold: { readonly step: number; readonly sinceMs: number } | undefined;
   /** Pass of the last switch; no further round starts before that pass. */
@@ -179,202 +124,49 @@
     return window.estimate();
   }
 
-  /** Reads all ranks; a rank that does not answer is undefined. */
-  async function collectSnapshots(
-    status: rankPeers.RankStatus,
-    callOptions: rankCallRouter.CallOptions,
-  ): Promise<GroupSnapshot> {
-    const ranks = Array.from({ length: status.size }, (_, rank) => rank);
-    const answers = await Promise.all(
-      ranks.map((rank) =>
-        options.callRank(rank, { kind: "experts" }, callOptions)
-      ),
-    );
-    return answers.map((answer) =>
-      answer?.kind === "experts" ? answer : undefined
-    );
-  }
-
-  /**
-   * Merges the experts of all ranks into one map; undefined while the ranks
-   * differ in epoch or map version. A rank without a snapshot is assumed to
-   * hold the experts that no other rank holds.
-   */
-  function mergeMap(
-    snapshots: GroupSnapshot,
-    status: rankPeers.RankStatus,
-  ): GroupMap | undefined {
-    const version = snapshots.find((snapshot) => snapshot)?.experts.version;
-    if (version === undefined) return undefined;
-    const isConsistent = snapshots.every((snapshot, rank) =>
-      snapshot === undefined ||
-      (snapshot.report.state.rank === rank &&
-        snapshot.report.state.epoch === status.epoch &&
-        snapshot.experts.epoch === status.epoch &&
-        snapshot.experts.version === version)
-    );
-    if (!isConsistent) return undefined;
-    const layers = Array.from({ length: experts.sets }, (_, layer) => {
-      const lists = snapshots.map((snapshot) =>
-        snapshot?.experts.experts[layer]
-      );
-      const reported = new Set(lists.flatMap((list) => list ?? []));
-      const missing = Array.from(
-        { length: experts.expertsPerSet },
-        (_, expert) => expert,
-      ).filter((expert) => !reported.has(expert));
-      return lists.map((list) => list ?? missing);
-    });
-    return { epoch: status.epoch, version, layers };
-  }
-
   /** Returns the map that the group uses; undefined if it can't be read. */
   async function findGroupMap(
     status: rankPeers.RankStatus,
-  ): Promise<GroupMap | undefined> {
+  ): Promise<groupReader.GroupMap | undefined> {
     const isKnown = groupMap?.epoch === status.epoch &&
       groupMap.version === status.mapVersion;
     if (isKnown) return groupMap;
-    const snapshots = await collectSnapshots(status, {
-      timeoutMs: readTimeoutMs,
-      route: "agent",
-    });
-    groupMap = listSilentRanks(snapshots).length === 0
-      ? mergeMap(snapshots, status)
+    const snapshots = await reader.readSnapshots(status, plannedRead);
+    const { epoch } = status;
+    groupMap = groupReader.listSilentRanks(snapshots).length === 0
+      ? groupReader.mergeMap(snapshots, { epoch, experts })
       : undefined;
     return groupMap;
   }
 
-  /** Reads the states of all ranks; undefined unless all ranks answer. */
-  async function readStates(
-    status: rankPeers.RankStatus,
-  ): Promise<readonly rankOrders.RankState[] | undefined> {
-    const answers = await Promise.all(
-      Array.from(
-        { length: status.size },
-        (_, rank) =>
-          options.callRank(rank, { kind: "report" }, {
-            timeoutMs: readTimeoutMs,
-            route: "agent",
-          }),
-      ),
-    );
-    const states = answers.flatMap((answer) =>
-      answer?.kind === "report" ? answer.report.state : []
-    );
-    return states.length === status.size ? states : undefined;
-  }
-
-  function runRound(
-    status: rankPeers.RankStatus,
-    event: switchRound.RoundEvent,
-    { baseMap, silentRank }: {
-      readonly baseMap: GroupMap;
-      /** Expected not to answer; its first read times out early. */
-      readonly silentRank?: number;
-    },
-  ): Promise<RoundResult> {
-    const phaseMs: Partial<Record<switchRound.RoundPhase, number>> = {};
-    let expectedSilentRank = silentRank;
-    let phaseSinceMs = scheduler.now();
-    let slowest: SlowestCall | undefined;
-    /** One call for each order, so that it is encoded once for all ranks. */
-    const orderCalls = new Map<rankOrders.RankOrder, rankRpc.OrderCall>();
-    options.takeCallSummary();
-    options.takeLoopDelayMs();
-    round = switchRound.createSwitchRound({
-      ownRank: status.rank,
-      rankCount: status.size,
-      epoch: status.epoch,
-      computeLeadPasses,
-      lastHeldStep: lastHeldStep ?? 0,
-      createVersion: options.createVersion,
-      getLeaderRank: mapVersions.getLeaderRank,
-    });
-    const currentRound = round;
-    return new Promise((resolve) => {
-      function feed(next: switchRound.RoundEvent): void {
-        const phase = currentRound.getPhase();
-        const effects = currentRound.handle(next);
-        if (currentRound.getPhase() !== phase) {
-          const nowMs = scheduler.now();
-          const spentMs = (phaseMs[phase] ?? 0) + nowMs - phaseSinceMs;
-          phaseMs[phase] = Math.round(spentMs);
-          phaseSinceMs = nowMs;
-        }
-        lastHeldStep = Math.max(lastHeldStep ?? 0, currentRound.getHeldStep());
-        for (const effect of effects) void execute(effect);
-      }
-
-      function getCall(
-        effect: Exclude<switchRound.RoundEffect, { readonly kind: "finish" }>,
-      ): rankRpc.RankCall {
-        if (effect.kind === "read") return { kind: "report" };
-        const { order } = effect;
-        const call = orderCalls.get(order) ??
-          { kind: "order" as const, order, epoch: status.epoch };
-        orderCalls.set(order, call);
-        return call;
-      }
-
-      async function execute(effect: switchRound.RoundEffect): Promise<void> {
-        if (effect.kind === "finish") {
-          return resolve({
-            outcome: effect.outcome,
-            phaseMs,
-            slowest,
-            calls: options.takeCallSummary(),
-            loopDelayMs: options.takeLoopDelayMs(),
-          });
-        }
-        const { call, rank } = effect;
-        const isExpectedSilent = rank === expectedSilentRank;
-        if (isExpectedSilent) expectedSilentRank = undefined;
-        const startedAtMs = scheduler.now();
-        const phase = currentRound.getPhase();
-        const answer = await options.callRank(
-          rank,
-          getCall(effect),
-          { ...chooseRoute(effect, phase, isExpectedSilent), baseMap },
-        );
-        const tookMs = Math.round(scheduler.now() - startedAtMs);
-        if (tookMs > (slowest?.tookMs ?? 0)) {
-          slowest = { rank, phase, tookMs, answer: describeAnswer(answer) };
-        }
-        feed(convertAnswer(answer, { call, rank }));
-      }
-
-      feed(event);
-    });
-  }
-
   /** Searches a group that may be stalled by a hold, and ends the hold. */
   async function endHold(status: rankPeers.RankStatus): Promise<void> {
     pausedUntilMs = scheduler.now() + retryDelayMs;
-    const firstRead = {
-      timeoutMs: stalledReadTimeoutMs,
+    const first = await reader.readSnapshots(status, {
+      timeoutMs: roundRunner.stalledReadTimeoutMs,
       route: "agent",
-    } as const;
-    const first = await collectSnapshots(status, firstRead);
-    const snapshots = isConclusive(first)
+    });
+    const snapshots = groupReader.isConclusive(first)
       ? first
-      : await collectSnapshots(status, {
-        timeoutMs: urgentReadTimeoutMs,
+      : await reader.readSnapshots(status, {
+        timeoutMs: roundRunner.urgentReadTimeoutMs,
         route: "either",
       });
-    const held = findHeldState(snapshots);
-    if (held === undefined && isConclusive(snapshots)) return;
+    const held = groupReader.findHeldState(snapshots);
+    const isConclusive = groupReader.isConclusive(snapshots);
+    if (held === undefined && isConclusive) return;
     // The agent that uses the hold ends it itself.
-    if (snapshots.some((snapshot) => isInRound(snapshot, held))) return;
-    const map = isConclusive(snapshots)
-      ? mergeMap(snapshots, status)
+    if (groupReader.isHoldInUse(snapshots, held)) return;
+    const { epoch } = status;
+    const map = isConclusive
+      ? groupReader.mergeMap(snapshots, { epoch, experts })
       : undefined;
     if (held?.heldStep === undefined || map === undefined) {
       logger.warn("The group is stalled and its state can't be determined", {
         group: status.group,
         epoch: status.epoch,
         stalledMs: Math.round(status.stalledMs),
-        silentRanks: listSilentRanks(snapshots),
+        silentRanks: groupReader.listSilentRanks(snapshots),
       });
       return;
     }
@@ -385,14 +177,14 @@
       rank,
       heldStep,
     };
-    const [silentRank] = listSilentRanks(snapshots);
+    const [silentRank] = groupReader.listSilentRanks(snapshots);
     logger.warn("Ending an abandoned hold", { ...details, silentRank });
-    const result = await runRound(status, {
+    const result = await rounds.run(status, {
       kind: "clear",
       heldRank: rank,
       heldStep,
       currentLayers: map.layers,
-    }, { baseMap: map, silentRank });
+    }, { computeLeadPasses, baseMap: map, silentRank });
     logger.info("Round to end an abandoned hold finished", {
       ...details,
       ...result,
@@ -402,7 +194,7 @@
   async function switchMap(
     status: rankPeers.RankStatus,
     { map, popularity, allowedSkew }: {
-      readonly map: GroupMap;
+      readonly map: groupReader.GroupMap;
       readonly popularity: countsWindow.PopularityEstimate;
       readonly allowedSkew: number;
     },
@@ -430,21 +222,21 @@
       });
       return;
     }
-    const states = await readStates(status);
+    const states = await reader.readStates(status, plannedRead);
     if (states === undefined) {
       pausedUntilMs = scheduler.now() + retryDelayMs;
       return;
     }
-    const result = await runRound(status, {
+    const result = await rounds.run(status, {
       kind: "start",
       layers: plan.map.layers,
       currentLayers: map.layers,
       states,
-    }, { baseMap: map });
+    }, { computeLeadPasses, baseMap: map });
     const { outcome, phaseMs } = result;
     const isSwitched = outcome.kind === "switched";
-    const { holding = 0, opening = 0, arming = 0 } = phaseMs;
-    const spentMs = holding + opening + arming;
+    const { holding = 0, confirming = 0, opening = 0, arming = 0 } = phaseMs;
+    const spentMs = holding + confirming + opening + arming;
     armingMs = Math.max(spentMs, armingDecayFactor * armingMs);
     if (isSwitched) {
       const { version, step } = outcome;
@@ -557,16 +349,10 @@
     });
   }
 
-  /** Sets a bound on the passes of this epoch that this rank may have held. */
   function enterEpoch(status: rankPeers.RankStatus): void {
-    if (enteredEpoch === status.epoch) return;
-    // Orders of an earlier epoch have no effect. After a restart within the
-    // epoch, the orders that this rank gave before the restart are unknown.
-    lastHeldStep = options.isEpochNew(status.epoch)
-      ? 0
-      : status.step + switchRound.maxAheadPasses;
+    rounds.enterEpoch(status);
+    if (enteredEpoch !== status.epoch) switchStep = 0;
     enteredEpoch = status.epoch;
-    switchStep = 0;
   }
 
   return {
@@ -600,96 +386,13 @@
       observePass(status);
       if (isStalledOrHeld(status)) await endHoldUnlessPaused(status);
     },
-    getRoundStep: () => round?.getActiveStep(),
+    getRoundStep: rounds.getRoundStep,
     reset() {
       window.reset();
     },
   };
 }
 
-/**
- * Chooses the route to a rank: calls are urgent once a pass is held, because the
- * whole group waits for the pass.
- */
-function chooseRoute(
-  effect: Exclude<switchRound.RoundEffect, { readonly kind: "finish" }>,
-  phase: switchRound.RoundPhase,
-  isExpectedSilent: boolean,
-): rankCallRouter.CallOptions {
-  if (phase === "preparing") {
-    const timeoutMs = effect.kind === "read" ? readTimeoutMs : orderTimeoutMs;
-    return { timeoutMs, route: "agent" };
-  }
-  if (phase === "confirming") {
-    return { timeoutMs: confirmTimeoutMs, route: "agent" };
-  }
-  if (effect.kind === "read") {
-    return isExpectedSilent
-      ? { timeoutMs: stalledReadTimeoutMs, route: "agent" }
-      : { timeoutMs: urgentReadTimeoutMs, route: "either" };
-  }
-  const { sender } = effect;
-  return sender === undefined
-    ? { timeoutMs: orderTimeoutMs, route: "either" }
-    : { timeoutMs: orderTimeoutMs, route: "sender", sender };
-}
-
-function findHeldState(
-  snapshots: GroupSnapshot,
-): rankOrders.RankState | undefined {
-  return snapshots
-    .flatMap((snapshot) => snapshot?.report.state ?? [])
-    .find(({ heldStep }) => heldStep !== undefined);
-}
-
-/** Whether a round of the rank's agent uses the hold. */
-function isInRound(
-  snapshot: RankSnapshot | undefined,
-  held: rankOrders.RankState | undefined,
-): boolean {
-  return held?.heldStep !== undefined &&
-    snapshot?.roundStep === held.heldStep;
-}
-
-function listSilentRanks(snapshots: GroupSnapshot): readonly number[] {
-  return [...snapshots.keys()].filter((rank) => snapshots[rank] === undefined);
-}
-
-/**
- * Whether the snapshots suffice to end a hold or to rule one out: at most the
- * leader that placed the hold may be silent.
- */
-function isConclusive(snapshots: GroupSnapshot): boolean {
-  const silent = listSilentRanks(snapshots);
-  const held = findHeldState(snapshots);
-  const holdLeader = held &&
-    switchRound.getHoldLeader(held.rank, snapshots.length);
-  return silent.every((rank) => rank === holdLeader);
-}
-
-function convertAnswer(
-  answer: rankRpc.RankAnswer | undefined,
-  { call, rank }: { readonly call: number; readonly rank: number },
-): switchRound.RoundEvent {
-  switch (answer?.kind) {
-    case "order": {
-      const { outcome, isSentElsewhere } = answer;
-      return { kind: "outcome", call, rank, outcome, isSentElsewhere };
-    }
-    case "report":
-    case "experts":
-      return { kind: "state", call, state: answer.report.state };
-    case "silent":
-    case undefined:
-      return { kind: "late", call, rank };
-  }
-}
-
-function describeAnswer(answer: rankRpc.RankAnswer | undefined): string {
-  if (answer === undefined) return "none";
-  return answer.kind === "order" ? answer.outcome.kind : answer.kind;
-}
-
 function trimDecimals(value: number): number {
   return Math.round(value * 100) / 100;
 }
