--- a/review/1/case.cjs
+++ b/review/1/case.cjs
@@ -96,9 +96,11 @@
   for (const result of results) {
     const { attemptId, status, framing, end, isSigned, isComplete } = result;
     record(
-      `${attemptId} to ${result.entry.name}, run by ${listRuns(attemptId)}, ended ${
-        describeTime(result.endedAtMs)
-      }: status ${status}, ${isSigned ? "signed" : "no signature"}, ` +
+      `${attemptId} to ${result.entry.name}, run by ${
+        listRuns(attemptId)
+      }, ended ${describeTime(result.endedAtMs)}: status ${status}, ${
+        isSigned ? "signed" : "no signature"
+      }, ` +
         `framed by ${framing}, ${describe(result)} of ${events} events, the ` +
         `channel closed by ${end}: ${isComplete ? "complete" : "broken off"}`,
     );
--- a/review/3/case.cjs
+++ b/review/3/case.cjs
@@ -147,9 +147,7 @@
     verdict: late.length > 0
       ? `BROKEN: ${late.length} requests with the key that was taken away ` +
         `were sent more than ${limitMs} ms after the confirmation and ran, ` +
-        `the last one sent ${
-          late.at(-1).sentAtMs - revokedAtMs
-        } ms after it`
+        `the last one sent ${late.at(-1).sentAtMs - revokedAtMs} ms after it`
       : `HELD: no request with the key that was taken away ran more than ` +
         `${limitMs} ms after the confirmation`,
   };
--- a/review/lib/manifest.cjs
+++ b/review/lib/manifest.cjs
@@ -18,6 +18,13 @@
   chunk: 512,
   report_lag_ms: 200,
   usual: { prompt: 835, answer: 159 },
+  sets: 4,
+  experts: 64,
+  placements: 5,
+  spare: 2,
+  expert_mb: 2_500,
+  expert_share: 0.85,
+  form_ms: 600,
 };
 
 const routes = [
@@ -36,6 +43,22 @@
     sticky: true,
     resumable: true,
   },
+  // Streams that may not be resumed are treated as unsafe (PROTOCOL.md).
+  {
+    name: "resolution-text",
+    host,
+    path_prefix: "/wording/",
+    kind: "streaming",
+    timeout_ms: 8_000,
+    latency_target_ms: 401,
+    gap_target_ms: 120,
+    priority: 1,
+    service: models,
+    attempts: 1,
+    public: false,
+    sticky: true,
+    resumable: false,
+  },
   {
     name: "file-resolution",
     host,
--- a/review/lib/raw.cjs
+++ b/review/lib/raw.cjs
@@ -66,7 +66,9 @@
       "Connection": "close",
       "Content-Length": String(body.length),
     }).map(([name, value]) => `${name}: ${value}\r\n`);
-    socket.write(`${method} ${target} HTTP/1.1\r\n${lines.join("")}\r\n${body}`);
+    socket.write(
+      `${method} ${target} HTTP/1.1\r\n${lines.join("")}\r\n${body}`,
+    );
     socket.on("data", (data) => received.push(data));
     socket.on("end", () => (end = "end of channel"));
     socket.on("error", (error) => (end = error.code));
--- a/review/lib/system.cjs
+++ b/review/lib/system.cjs
@@ -161,7 +161,9 @@
 }
 
 /** Sends a request; resolves when the answer has ended or broken off. */
-function send({ host, port, method = "GET", path: target, headers, body, signal }) {
+function send(
+  { host, port, method = "GET", path: target, headers, body, signal },
+) {
   const sentAtMs = Date.now();
   return new Promise((resolve) => {
     const finish = (result) =>
@@ -175,8 +177,16 @@
       agent: false,
       signal,
     });
-    request.on("error", (error) =>
-      finish({ status: 0, isComplete: false, body: "", error: error.message }));
+    request.on(
+      "error",
+      (error) =>
+        finish({
+          status: 0,
+          isComplete: false,
+          body: "",
+          error: error.message,
+        }),
+    );
     request.on("response", (response) => {
       const chunks = [];
       let error;
@@ -277,8 +287,10 @@
   for (const name of ["SIGTERM", "SIGINT"]) {
     process.on(name, () => end(2, `could not run: ${name}`));
   }
-  process.on("uncaughtException", (error) =>
-    end(2, `could not run: ${error.stack}`));
+  process.on(
+    "uncaughtException",
+    (error) => end(2, `could not run: ${error.stack}`),
+  );
   record(hasTrouble ? "with the disruption" : "without the disruption");
   run({ record, hasTrouble, onEnd: (cleanup) => cleanups.push(cleanup) }).then(
     ({ isBroken, verdict }) => end(isBroken ? 1 : 0, verdict),
