--- a/review/1/case.cjs
+++ b/review/1/case.cjs
@@ -3,11 +3,11 @@
  * The process of an entry is killed while it passes on streams that have neither
  * a length nor chunks. No stream may end as complete before its last piece.
  */
-const manifest = require("../lib/manifest.cjs");
-const platform = require("../lib/platform.cjs");
-const { sendRaw } = require("../lib/raw.cjs");
-const replicas = require("../lib/replica.cjs");
-const system = require("../lib/system.cjs");
+const manifest = require("../manifest.cjs");
+const platform = require("../platform.cjs");
+const { sendRaw } = require("../raw.cjs");
+const replicas = require("../replica.cjs");
+const system = require("../system.cjs");
 
 const { sleep } = system;
 const events = 26;
--- a/review/2/case.cjs
+++ b/review/2/case.cjs
@@ -4,11 +4,11 @@
  * part of a body without a length, and resets the channel. No requester may get
  * such a part as a complete success.
  */
-const manifest = require("../lib/manifest.cjs");
-const platform = require("../lib/platform.cjs");
-const { sendRaw } = require("../lib/raw.cjs");
-const replicas = require("../lib/replica.cjs");
-const system = require("../lib/system.cjs");
+const manifest = require("../manifest.cjs");
+const platform = require("../platform.cjs");
+const { sendRaw } = require("../raw.cjs");
+const replicas = require("../replica.cjs");
+const system = require("../system.cjs");
 
 const { sleep } = system;
 const wholeBytes = 800;
--- a/review/3/case.cjs
+++ b/review/3/case.cjs
@@ -4,10 +4,10 @@
  * away afterwards. No request with that key may run later than `revocation_ms`
  * after the confirmation.
  */
-const manifest = require("../lib/manifest.cjs");
-const platform = require("../lib/platform.cjs");
-const replicas = require("../lib/replica.cjs");
-const system = require("../lib/system.cjs");
+const manifest = require("../manifest.cjs");
+const platform = require("../platform.cjs");
+const replicas = require("../replica.cjs");
+const system = require("../system.cjs");
 
 const { sleep } = system;
 const heartbeatMs = 1_200;
--- a/review/4/case.cjs
+++ b/review/4/case.cjs
@@ -4,10 +4,10 @@
  * sends streams to the entry before the entry closes; a sound replica answers
  * each in time. No stream may end without its whole answer.
  */
-const manifest = require("../lib/manifest.cjs");
-const platform = require("../lib/platform.cjs");
-const replicas = require("../lib/replica.cjs");
-const system = require("../lib/system.cjs");
+const manifest = require("../manifest.cjs");
+const platform = require("../platform.cjs");
+const replicas = require("../replica.cjs");
+const system = require("../system.cjs");
 
 const { sleep } = system;
 /** Most events of one answer of the site, at under two thirds of its pause. */
--- a/review/5/case.cjs
+++ b/review/5/case.cjs
@@ -4,10 +4,10 @@
  * cut off from the store. Meanwhile a replica leaves. The entries that are in
  * touch must send it nothing later than `drain_ms` after the confirmation.
  */
-const manifest = require("../lib/manifest.cjs");
-const platform = require("../lib/platform.cjs");
-const replicas = require("../lib/replica.cjs");
-const system = require("../lib/system.cjs");
+const manifest = require("../manifest.cjs");
+const platform = require("../platform.cjs");
+const replicas = require("../replica.cjs");
+const system = require("../system.cjs");
 
 const { sleep } = system;
 const cutMs = 5_500;
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 # Run it after the build of the deploy file, whose Node.js runs them.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-for file in review/lib/*.cjs review/*/case.cjs; do
+for file in review/*.cjs review/*/case.cjs; do
   target/node --check "$file"
 done
--- a/review/lib/system.cjs
+++ b/review/system.cjs
@@ -10,7 +10,7 @@
 const os = require("node:os");
 const path = require("node:path");
 
-const root = path.join(__dirname, "..", "..");
+const root = path.join(__dirname, "..");
 
 /** Bounds of the site asc-nord (SYSTEM.md). */
 const bounds = {
