--- a/review/system.cjs
+++ b/review/system.cjs
@@ -79,17 +79,41 @@
   return ports;
 }
 
+/** Port whose listener reserves a loopback network for one run. */
+const reservationPort = 19_999;
+
+/**
+ * Reserves a network 127.N.0.0/16: some ports of an entry are fixed, so that two
+ * runs at the same time need different addresses.
+ */
+async function reserveNetwork() {
+  for (let offset = 0; offset < 200; offset += 1) {
+    const number = 2 + (process.pid + offset) % 200;
+    const reservation = net.createServer();
+    const isReserved = await new Promise((resolve) => {
+      reservation.once("error", () => resolve(false));
+      reservation.listen(
+        reservationPort,
+        `127.${number}.255.1`,
+        () => resolve(true),
+      );
+    });
+    if (isReserved) return { number, reservation };
+  }
+  throw new Error("No loopback network is free");
+}
+
 /** Creates the machines of a run; `stop` ends every process it started. */
 async function createSystem({ record, entryCount, agentCount = 0 }) {
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), "review-"));
-  const net2 = 2 + (process.pid % 200);
+  const { number, reservation } = await reserveNetwork();
   const entryHosts = Array.from(
     { length: entryCount },
-    (_, index) => `127.${net2}.0.${index + 1}`,
+    (_, index) => `127.${number}.0.${index + 1}`,
   );
   const agentHosts = Array.from(
     { length: agentCount },
-    (_, index) => `127.${net2}.1.${index + 1}`,
+    (_, index) => `127.${number}.1.${index + 1}`,
   );
   const [front, ready, control, directory, peers] = await findPorts(
     5,
@@ -122,7 +146,7 @@
 
   return {
     folder,
-    net: net2,
+    net: number,
     startEntry(index, { store, isFirstStart = true }) {
       const host = entryHosts[index];
       const name = `front-${index + 1}`;
@@ -155,6 +179,7 @@
     /** Ends all processes that were started, by their ids. */
     stop() {
       for (const child of processes) child.kill("SIGKILL");
+      reservation.close();
       fs.rmSync(folder, { recursive: true, force: true });
     },
   };
