--- a/packages/anvilhinge/src/entry/control/store_follower.ts
+++ b/packages/anvilhinge/src/entry/control/store_follower.ts
@@ -15,10 +15,11 @@
   readonly prefix: string;
   /** Stops all reads. */
   readonly signal: AbortSignal;
-  /** Called with each complete list and the store version that it reflects. */
+  /** Called with each complete list and the store position that it reflects. */
   readonly onList: (
     objects: readonly objectStore.StoredObject[],
     version: number,
+    era: number,
   ) => void;
   /**
    * Called when the store has confirmed that no newer change existed at
@@ -45,8 +46,8 @@
   readonly getConfirmIntervalMs?: () => number | undefined;
   /** Time for which events are batched, in milliseconds. */
   readonly batchWindowMs?: number;
-  /** Version from which to watch without a list. Default: list first. */
-  readonly startVersion?: number;
+  /** Position from which to watch without a list. Default: list first. */
+  readonly startFrom?: objectStore.StorePosition;
   /** Called for each change after a list; a change may be repeated. */
   readonly onObject: (object: objectStore.StoredObject) => void;
   readonly onRemoved?: (key: string, version: number) => void;
@@ -93,7 +94,7 @@
     if (outcome.kind === "unavailable") {
       return retries.schedule(outcome.message, () => void list());
     }
-    options.onList(outcome.objects, outcome.version);
+    options.onList(outcome.objects, outcome.version, outcome.era ?? 0);
     options.onConfirmed?.(asOfMs);
   }
 
@@ -109,17 +110,20 @@
   function listAndWatch(): void {
     listPrefix({
       ...options,
-      onList(objects, version) {
+      onList(objects, version, era) {
         retries.reset();
-        options.onList(objects, version);
-        if (!signal.aborted) startWatch(version);
+        options.onList(objects, version, era);
+        if (!signal.aborted) startWatch({ era, version });
       },
     });
   }
 
-  function startWatch(sinceVersion: number): void {
+  function startWatch(
+    { era, version }: objectStore.StorePosition,
+  ): void {
     options.store.watch(options.prefix, {
-      sinceVersion,
+      sinceVersion: version,
+      era,
       signal,
       getConfirmIntervalMs: options.getConfirmIntervalMs,
       batchWindowMs: options.batchWindowMs,
@@ -135,7 +139,7 @@
           case "closed":
             return retries.schedule(
               event.message,
-              () => startFrom(event.resumeFrom),
+              () => startFrom(era, event.resumeFrom),
             );
         }
       },
@@ -143,10 +147,10 @@
   }
 
   /** Starts to watch from a version. Without a version, lists first. */
-  function startFrom(version: number | undefined): void {
+  function startFrom(era: number, version: number | undefined): void {
     if (version === undefined) listAndWatch();
-    else startWatch(version);
+    else startWatch({ era, version });
   }
 
-  startFrom(options.startVersion);
+  startFrom(options.startFrom?.era ?? 0, options.startFrom?.version);
 }
--- a/packages/anvilhinge/src/entry/routing/followed_prefix.ts
+++ b/packages/anvilhinge/src/entry/routing/followed_prefix.ts
@@ -10,6 +10,8 @@
 
 /** Version and age of an entry's view of one prefix, as sent by the hub. */
 export interface PrefixStatus {
+  /** Era of the store that the version belongs to. */
+  readonly era: number;
   /** Highest object version in the view. */
   readonly version: number;
   /**
@@ -30,7 +32,17 @@
   /** Age up to which the view is used, in milliseconds. */
   readonly maxAgeMs: number;
   readonly isHub: () => boolean;
-  readonly onList: (objects: readonly objectStore.StoredObject[]) => void;
+  /**
+   * Whether the store has everything that the view contains. If it doesn't, as
+   * after its return from a copy, its answers don't confirm the view.
+   * @default () => true
+   */
+  readonly isStoreCurrent?: () => boolean;
+  /** Called with each list; later changes belong to the same era. */
+  readonly onList: (
+    objects: readonly objectStore.StoredObject[],
+    era: number,
+  ) => void;
   readonly onObject: (object: objectStore.StoredObject) => void;
   readonly onRemoved: (key: string) => void;
   readonly onUnavailable: (message: string) => void;
@@ -80,6 +92,7 @@
   options: FollowedPrefixOptions,
 ): FollowedPrefix {
   const { scheduler, elapsed, signal, maxAgeMs } = options;
+  const isStoreCurrent = options.isStoreCurrent ?? (() => true);
   const confirmIntervalMs = Math.min(
     longestConfirmIntervalMs,
     maxConfirmShare * maxAgeMs,
@@ -87,6 +100,8 @@
   let watchAbort = new AbortController();
   let isRequestingConfirmations = true;
   let isUnavailable = false;
+  /** Era of the lists and the watch of this entry. */
+  let era = 0;
   /** Highest version covered by the lists and the watch of this entry. */
   let coveredVersion = 0;
   /** Highest object version in the view. */
@@ -108,8 +123,16 @@
     return isUnavailable ? unavailableConfirmIntervalMs : confirmIntervalMs;
   }
 
-  /** Replaces the watch. Without a start version, lists the prefix first. */
-  function follow(startVersion?: number): void {
+  /** Starts the versions anew; those of another era aren't comparable. */
+  function enterEra(nextEra: number): void {
+    if (nextEra === era) return;
+    era = nextEra;
+    coveredVersion = 0;
+    objectVersion = 0;
+  }
+
+  /** Replaces the watch. Without a start position, lists the prefix first. */
+  function follow(startFrom?: objectStore.StorePosition): void {
     watchAbort.abort();
     watchAbort = new AbortController();
     behindSinceMs = undefined;
@@ -123,17 +146,18 @@
       maxDoublings: maxRetryDoublings,
       getConfirmIntervalMs: computeConfirmIntervalMs,
       batchWindowMs,
-      startVersion,
+      startFrom,
       onUnavailable(message) {
         isUnavailable = true;
         options.onUnavailable(message);
       },
-      onList(objects, version) {
+      onList(objects, version, listEra) {
         isUnavailable = false;
         options.onAvailable();
+        enterEra(listEra);
         coveredVersion = Math.max(coveredVersion, version);
         for (const object of objects) recordVersion(object.version);
-        options.onList(objects);
+        options.onList(objects, era);
       },
       onObject(object) {
         recordVersion(object.version);
@@ -146,6 +170,7 @@
       onConfirmed(asOfMs) {
         isUnavailable = false;
         options.onAvailable();
+        if (!isStoreCurrent()) return;
         // Converts `asOfMs` from the scheduler's clock to `elapsed` by its age.
         const ageMs = scheduler.now() - asOfMs;
         confirmedAtMs = Math.max(confirmedAtMs, elapsed.now() - ageMs);
@@ -163,7 +188,9 @@
     isRequestingConfirmations = isRequestNeeded;
     if (isWatchBehind) follow();
     // A pending watch call would wait longer than the new confirmation interval.
-    else if (isRequestNeeded && !wasRequesting) follow(coveredVersion);
+    else if (isRequestNeeded && !wasRequesting) {
+      follow({ era, version: coveredVersion });
+    }
     scheduler.schedule(check, { delayMs: checkIntervalMs, signal });
   }
 
@@ -174,17 +201,19 @@
     readStatus() {
       const ageMs = getAgeMs();
       return {
+        era,
         version: objectVersion,
         ageMs: Number.isFinite(ageMs) ? Math.ceil(ageMs) : undefined,
       };
     },
-    applyHubStatus({ version, ageMs }, sampledAfterMs) {
-      if (version > coveredVersion) {
+    applyHubStatus({ era: hubEra, version, ageMs }, sampledAfterMs) {
+      if (hubEra < era) return;
+      if (hubEra > era || version > coveredVersion) {
         behindSinceMs ??= elapsed.now();
         return;
       }
       behindSinceMs = undefined;
-      if (ageMs === undefined) return;
+      if (ageMs === undefined || !isStoreCurrent()) return;
       confirmedAtMs = Math.max(confirmedAtMs, sampledAfterMs - ageMs);
     },
   };
--- a/packages/anvilhinge/src/entry/routing/routing_view.ts
+++ b/packages/anvilhinge/src/entry/routing/routing_view.ts
@@ -3,6 +3,11 @@
  * object store. A view never returns to a lower version of the settings. It
  * records the time at which the store last confirmed it.
  *
+ * A store that returns from a copy starts a new era (see `StorePosition`). The
+ * view then keeps what it knows beyond the copy: newer settings until the store
+ * has them again, and which upstreams have left. Settings older than the view's
+ * confirm nothing, as the copy may also lack later settings.
+ *
  * Each entry watches the store for changes. Confirmations cost store calls, so
  * only the hub requests them often and distributes them to the other entries.
  * An entry that receives no confirmation for some seconds requests its own.
@@ -13,6 +18,7 @@
 import type * as scheduler from "../../ports/scheduler.ts";
 import type * as routing from "../../settings/routing.ts";
 import type * as logger from "../../telemetry/logger.ts";
+import * as departures from "./departures.ts";
 import * as followedPrefix from "./followed_prefix.ts";
 import * as routeTable from "./route_table.ts";
 
@@ -34,6 +40,8 @@
 export interface ViewStatus {
   readonly routing: followedPrefix.PrefixStatus;
   readonly upstreams: followedPrefix.PrefixStatus;
+  /** Version of the settings in force; 0 before the first settings. */
+  readonly settingsVersion: number;
 }
 
 export interface RoutingViewOptions {
@@ -75,14 +83,30 @@
  * again within two seconds (see the platform's page on discovery).
  */
 const expiryGraceMs = 2_200;
+/**
+ * Time after the store's return from a copy for which a copied record doesn't
+ * bring back an upstream that has left. The platform removes such records after
+ * some missed heartbeats.
+ */
+const copiedRecordHoldMs = 10_000;
 
 /** Starts to follow the object store. */
 export function startRoutingView(options: RoutingViewOptions): RoutingView {
   const { source, scheduler, signal, logger } = options;
   const upstreams = new Map<string, routing.ListedUpstream>();
   const expired = new Set<string>();
+  const departed = departures.createDepartures({ clock: options.elapsed });
+  /** Copied records of upstreams that have left, by key. */
+  const held = new Map<string, objectStore.StoredObject>();
+  let upstreamsEra: number | undefined;
+  let routingEra: number | undefined;
   let table: routeTable.RouteTable | undefined;
+  /** Highest store version of settings that were read in this era. */
   let routingVersion = 0;
+  /** Highest version of the settings that the store had in this era. */
+  let storedSettingsVersion = 0;
+  /** Highest version of the settings that the hub had in force. */
+  let hubSettingsVersion = 0;
   let hasListedUpstreams = false;
   let isUnavailable = false;
   let availableAtMs = -Infinity;
@@ -94,6 +118,35 @@
     options.onReady();
   }
 
+  function getSettingsVersion(): number {
+    return table?.settings.version ?? 0;
+  }
+
+  /** Whether the store has the newest settings that any entry is known to use. */
+  function hasStoreNewestSettings(): boolean {
+    return storedSettingsVersion >=
+      Math.max(getSettingsVersion(), hubSettingsVersion);
+  }
+
+  function applyRoutingList(
+    objects: readonly objectStore.StoredObject[],
+    era: number,
+  ): void {
+    const isNewEra = routingEra !== undefined && era !== routingEra;
+    routingEra = era;
+    if (isNewEra) {
+      routingVersion = 0;
+      storedSettingsVersion = 0;
+    }
+    objects.forEach(applyRouting);
+    if (!isNewEra) return;
+    logger.warn("The object store has returned from a copy", {
+      era,
+      storedSettingsVersion,
+      settingsVersion: getSettingsVersion(),
+    });
+  }
+
   function applyRouting(object: objectStore.StoredObject): void {
     if (object.version <= routingVersion) return;
     const settings = source.decodeRouting(object);
@@ -104,8 +157,9 @@
       });
       return;
     }
-    if (settings.version < (table?.settings.version ?? 0)) return;
     routingVersion = object.version;
+    storedSettingsVersion = Math.max(storedSettingsVersion, settings.version);
+    if (settings.version < getSettingsVersion()) return;
     table = routeTable.createRouteTable(settings);
     logger.info("Applied routing settings", {
       version: settings.version,
@@ -121,6 +175,7 @@
   }
 
   function applyUpstream(object: objectStore.StoredObject): boolean {
+    held.delete(object.key);
     const upstream = source.decodeUpstream(object);
     if (upstream === undefined) {
       logger.warnOnce(
@@ -143,11 +198,15 @@
     return hasChanged;
   }
 
-  function removeUpstream(key: string, reason: string): boolean {
+  function removeUpstream(
+    key: string,
+    reason: "malformed" | "removed" | "lapsed",
+  ): boolean {
     expired.delete(key);
     const upstream = upstreams.get(key);
     if (upstream === undefined) return false;
     upstreams.delete(key);
+    if (reason !== "malformed") departed.record(key, upstream.startedAtMs);
     logger.info("Removed an upstream", { upstream: upstream.id, reason });
     return true;
   }
@@ -157,6 +216,7 @@
    * the removal is delayed, as the record may only have expired.
    */
   function expireUpstream(key: string): boolean {
+    held.delete(key);
     const graceLeftMs = availableAtMs + expiryGraceMs - scheduler.now();
     if (!upstreams.has(key) || graceLeftMs <= 0) {
       return removeUpstream(key, "removed");
@@ -164,17 +224,56 @@
     if (expired.has(key)) return false;
     expired.add(key);
     scheduler.schedule(() => {
-      if (expired.has(key) && removeUpstream(key, "lapsed")) publishUpstreams();
+      if (!expired.delete(key)) return;
+      // The store may have returned once more meanwhile.
+      const isGraceOver = availableAtMs + expiryGraceMs <= scheduler.now();
+      const hasChanged = isGraceOver
+        ? removeUpstream(key, "lapsed")
+        : expireUpstream(key);
+      if (hasChanged) publishUpstreams();
     }, { delayMs: graceLeftMs, signal });
     return false;
   }
 
+  /** Whether a copied record contradicts what this view knows of its upstream. */
+  function isOutdatedCopy(object: objectStore.StoredObject): boolean {
+    const upstream = source.decodeUpstream(object);
+    if (upstream?.state !== "serving") return false;
+    const { startedAtMs } = upstream;
+    const known = upstreams.get(object.key);
+    return known === undefined
+      ? departed.has(object.key, startedAtMs)
+      : known.state === "leaving" && known.startedAtMs === startedAtMs;
+  }
+
+  /** Holds the records of a new era that contradict later ones of the last. */
+  function holdOutdatedCopies(
+    objects: readonly objectStore.StoredObject[],
+  ): void {
+    availableAtMs = scheduler.now();
+    held.clear();
+    for (const object of objects) {
+      if (isOutdatedCopy(object)) held.set(object.key, object);
+    }
+    const holdEra = upstreamsEra;
+    scheduler.schedule(() => {
+      if (upstreamsEra !== holdEra || held.size === 0) return;
+      const hasChanged = [...held.values()].map(applyUpstream);
+      if (hasChanged.includes(true)) publishUpstreams();
+    }, { delayMs: copiedRecordHoldMs, signal });
+  }
+
   function applyUpstreamList(
     objects: readonly objectStore.StoredObject[],
+    era: number,
   ): void {
+    const isNewEra = upstreamsEra !== undefined && era !== upstreamsEra;
+    upstreamsEra = era;
+    if (isNewEra) holdOutdatedCopies(objects);
     const listed = new Set(objects.map(({ key }) => key));
     let hasChanged = !hasListedUpstreams;
     for (const object of objects) {
+      if (held.get(object.key)?.version === object.version) continue;
       hasChanged = applyUpstream(object) || hasChanged;
     }
     for (const key of [...upstreams.keys()]) {
@@ -206,7 +305,8 @@
   const followedRouting = followedPrefix.startFollowing({
     ...sharedOptions,
     prefix: source.routingPrefix,
-    onList: (objects) => objects.forEach(applyRouting),
+    isStoreCurrent: hasStoreNewestSettings,
+    onList: applyRoutingList,
     onObject: applyRouting,
     onRemoved: () => {},
   });
@@ -228,8 +328,10 @@
     readStatus: () => ({
       routing: followedRouting.readStatus(),
       upstreams: followedUpstreams.readStatus(),
+      settingsVersion: getSettingsVersion(),
     }),
     applyHubStatus(status, sampledAfterMs) {
+      hubSettingsVersion = Math.max(hubSettingsVersion, status.settingsVersion);
       followedRouting.applyHubStatus(status.routing, sampledAfterMs);
       followedUpstreams.applyHubStatus(status.upstreams, sampledAfterMs);
     },
--- a/packages/anvilhinge/src/ports/object_store.ts
+++ b/packages/anvilhinge/src/ports/object_store.ts
@@ -12,12 +12,27 @@
 export type ReadOutcome = versionedStore.ReadOutcome;
 export type WriteOutcome = versionedStore.WriteOutcome;
 
+/**
+ * Point in the history of the store. A store that was restored from a copy
+ * starts a new era and assigns versions of the previous era again, so versions
+ * are comparable only within one era.
+ */
+export interface StorePosition {
+  readonly era: number;
+  readonly version: number;
+}
+
 export type ListOutcome =
   | {
     readonly kind: "listed";
     readonly objects: readonly StoredObject[];
     /** Store version of the listing; a watch may start from it. */
     readonly version: number;
+    /**
+     * Era of the version.
+     * @default 0
+     */
+    readonly era?: number;
   }
   | Unavailable;
 
@@ -42,6 +57,11 @@
 export interface WatchOptions {
   /** Only events with a higher version are delivered. */
   readonly sinceVersion: number;
+  /**
+   * Era of that version; the watch is closed when the store is in another era.
+   * @default 0
+   */
+  readonly era?: number;
   /** Ends the watch without a `closed` event. */
   readonly signal: AbortSignal;
   /**
