--- a/packages/anvilhinge/src/adapters/direct_client.ts
+++ b/packages/anvilhinge/src/adapters/direct_client.ts
@@ -129,12 +129,9 @@
     if ((response.statusCode ?? 0) < minFinalStatus) {
       return failStream("The upstream changed the protocol unasked");
     }
-    const isFramed = response.headers["content-length"] !== undefined ||
-      response.headers["transfer-encoding"] !== undefined;
     const head: engine.AnswerHead = {
       status: response.statusCode ?? 0,
       headers: httpHeaders.listEndToEndHeaders(response.rawHeaders),
-      isCloseDelimited: isFramed ? undefined : true,
     };
     const interpretation = dialect.interpretHead(head, attempt);
     response.on("error", (error) => failStream(error.message));
--- a/packages/anvilhinge/src/entry/callers/routed_answer.ts
+++ b/packages/anvilhinge/src/entry/callers/routed_answer.ts
@@ -95,9 +95,13 @@
   readonly onGap: (pauseMs: number) => void;
 }
 
+const bodylessStatuses: readonly number[] = [204, 304];
+
 /**
- * Creates the writer of one answer. A whole answer with a body gets a
- * `Content-Length` if it has none.
+ * Creates the writer of one answer. Every answer has a length or chunks, so that
+ * a connection that ends early, as when this process is killed, never completes
+ * it. A whole answer gets a `Content-Length` if it has none. So does any answer
+ * to a caller of HTTP/1.0, which has no chunks; it is buffered for that.
  */
 export function createRoutedAnswerWriter(
   response: http.ServerResponse,
@@ -113,6 +117,7 @@
   let lastAtMs: number | undefined;
   let longestPauseMs = 0;
   let reason: string | undefined;
+  const canSendChunks = response.useChunkedEncodingByDefault;
 
   function recordPart(): void {
     const nowMs = clock.now();
@@ -130,12 +135,6 @@
   function open(extraHeaders: readonly string[] = []): void {
     if (isOpen || head === undefined) return;
     isOpen = true;
-    if (head.isCloseDelimited) {
-      // Only the end of the connection ends this body. A length or chunked
-      // framing added here would mark a truncated body as complete.
-      response.useChunkedEncodingByDefault = false;
-      response.shouldKeepAlive = false;
-    }
     response.writeHead(head.status, [...head.headers.flat(), ...extraHeaders]);
   }
 
@@ -146,20 +145,25 @@
     return taken;
   }
 
-  /** Closes the connection so that the answer can't seem complete. */
-  function breakOff(): void {
-    // Without a length or chunks, an orderly close would be the answer's end.
-    const isFramed = response.chunkedEncoding || hasContentLength();
-    if (!isFramed) response.socket?.resetAndDestroy();
-    response.destroy();
-  }
-
   function hasContentLength(): boolean {
     return head?.headers.some(([name]) =>
       name.toLowerCase() === "content-length"
     ) ?? false;
   }
 
+  function isBodyless(): boolean {
+    return response.req.method === "HEAD" ||
+      bodylessStatuses.includes(head?.status ?? 0);
+  }
+
+  /** Ends an answer that can be sent neither whole nor in chunks. */
+  function rejectLongAnswer(): void {
+    reason = `The answer to an HTTP/1.0 request exceeds ${limitBytes} bytes`;
+    takeParts();
+    response.shouldKeepAlive = false;
+    writeErrorAnswer(response, { status: 502, message: reason });
+  }
+
   return {
     flow: {
       isBehind: () => response.writableNeedDrain,
@@ -174,29 +178,33 @@
       response.statusCode = received.status;
     },
     data(data) {
+      if (!isOpen && reason !== undefined) return;
       bufferedParts.push(data);
       bufferedBytes += data.byteLength;
-      if (isWhole && !isOpen && bufferedBytes <= limitBytes) return;
+      const isLong = bufferedBytes > limitBytes;
+      const mustBuffer = !canSendChunks && !hasContentLength();
+      if (!isOpen && !isLong && (isWhole || mustBuffer)) return;
+      if (mustBuffer) return rejectLongAnswer();
       open();
       if (!isWhole) recordPart();
       for (const part of takeParts()) response.write(part);
     },
     end() {
+      if (!isOpen && reason !== undefined) return;
       const body = Buffer.concat(takeParts());
-      const isBodyless = head?.status === 204 || head?.status === 304;
-      const extraHeaders =
-        isOpen || hasContentLength() || isBodyless || head?.isCloseDelimited
-          ? []
-          : ["Content-Length", String(body.byteLength)];
+      const extraHeaders = isOpen || hasContentLength() || isBodyless()
+        ? []
+        : ["Content-Length", String(body.byteLength)];
       open(extraHeaders);
       response.end(body.byteLength === 0 ? undefined : body);
     },
     answer(final) {
+      if (!isOpen && reason !== undefined) return;
       // Once the status line has been sent, only a broken connection can show
       // the caller that the answer is incomplete.
       const error = convertFinalAnswer(final);
       reason = error.message;
-      if (isOpen) breakOff();
+      if (isOpen) response.destroy();
       else writeErrorAnswer(response, error);
     },
   };
--- a/packages/anvilhinge/src/ports/engine.ts
+++ b/packages/anvilhinge/src/ports/engine.ts
@@ -7,11 +7,6 @@
 export interface AnswerHead {
   readonly status: number;
   readonly headers: readonly (readonly [name: string, value: string])[];
-  /**
-   * True when only the close of the connection ends the body, so that a
-   * truncated body can't be detected.
-   */
-  readonly isCloseDelimited?: boolean;
 }
 
 export type EngineEvent =
