--- a/packages/anvilhinge/src/adapters/direct_client.ts
+++ b/packages/anvilhinge/src/adapters/direct_client.ts
@@ -39,6 +39,7 @@
 const emptyRunLimitBytes = 4 * headLimitBytes;
 /** Lowest status of a final answer; lower ones are interim. */
 const minFinalStatus = 200;
+const bodylessStatuses: readonly number[] = [204, 304];
 const unknownLoad: engine.EngineLoad = { running: 0, queued: 0, stepUs: 0 };
 
 /** Creates a client for upstreams without agents. */
@@ -58,6 +59,9 @@
   };
 }
 
+/** How an upstream ended its side of the connection. */
+type ConnectionEnd = "orderly" | "reset";
+
 interface Call extends DirectClientOptions {
   readonly stream: agentClient.StreamOptions;
 }
@@ -68,6 +72,8 @@
   const socket = net.connect({
     ...address.parseAddress(stream.address),
     noDelay: true,
+    // Keeps the socket writable after the upstream's end; see `checkEnd`.
+    allowHalfOpen: true,
   });
   socket.setTimeout(connectTimeoutMs, () => {
     socket.destroy(new Error("The connection took too long"));
@@ -76,15 +82,40 @@
   return socket;
 }
 
+/**
+ * Tells a reset from an orderly end. The runtime reports a reset that arrives
+ * with the last bytes as an end without an error; the error stays pending at the
+ * socket. An empty write returns it and sends nothing.
+ */
+function checkEnd(
+  socket: net.Socket,
+  onChecked: (connectionEnd: ConnectionEnd) => void,
+): void {
+  socket.write("", (error) => onChecked(error ? "reset" : "orderly"));
+}
+
+/** Whether only the end of the connection ends the body of the answer. */
+function isCloseDelimited(
+  { headers, statusCode = 0 }: http.IncomingMessage,
+  method: string,
+): boolean {
+  return headers["content-length"] === undefined &&
+    headers["transfer-encoding"] === undefined &&
+    method !== "HEAD" && !bodylessStatuses.includes(statusCode);
+}
+
 function runAttempt(attempt: frames.Attempt, call: Call): void {
   const { work } = attempt;
   if (work.kind !== "service") throw new Error("Expected service work");
   const { stream, dialect } = call;
+  const { method } = work;
   const sentAtMs = call.clock.now();
   let sequence = 0;
   let isConnected = false;
   let isEnded = false;
   let answer: http.IncomingMessage | undefined;
+  let connectionEnd: ConnectionEnd | "unchecked" | undefined;
+  let isAnswerClosed = false;
   /** Whether the head or data arrived since the last check of empty runs. */
   let hasProgressed = false;
 
@@ -173,15 +204,37 @@
       stream.flow.onceCaughtUp(() => response.resume());
     });
     response.on("close", () => {
-      if (isEnded) return;
-      if (!response.complete) return failStream("The answer broke off");
-      emitFrame({ kind: "end", frameCount: sequence + 1, load: unknownLoad });
-      end({ kind: "closed" });
+      isAnswerClosed = true;
+      finishAnswer(response);
+    });
+  }
+
+  /** Ends the attempt once it is certain whether the answer is whole. */
+  function finishAnswer(response: http.IncomingMessage): void {
+    if (isEnded || !isAnswerClosed) return;
+    if (!response.complete) return failStream("The answer broke off");
+    if (isCloseDelimited(response, method)) {
+      if (connectionEnd === "unchecked") return;
+      if (connectionEnd !== "orderly") {
+        return failStream("The connection was reset before the answer's end");
+      }
+    }
+    emitFrame({ kind: "end", frameCount: sequence + 1, load: unknownLoad });
+    end({ kind: "closed" });
+  }
+
+  function handleConnectionEnd(socket: net.Socket): void {
+    if (answer === undefined || !isCloseDelimited(answer, method)) return;
+    const response = answer;
+    connectionEnd = "unchecked";
+    checkEnd(socket, (checked) => {
+      connectionEnd = checked;
+      finishAnswer(response);
     });
   }
 
   const request = http.request({
-    method: work.method,
+    method,
     path: work.path,
     headers: [
       ...work.headers,
@@ -191,7 +244,12 @@
     ].flat(),
     setHost: false,
     maxHeaderSize: headLimitBytes,
-    createConnection: () => openConnection(call),
+    createConnection() {
+      const socket = openConnection(call);
+      // Runs before the listener of the HTTP client, which ends the socket.
+      socket.once("end", () => handleConnectionEnd(socket));
+      return socket;
+    },
   });
   request.on("socket", (socket) => {
     socket.once("connect", () => {
--- a/packages/anvilhinge/src/adapters/direct_client_test.ts
+++ b/packages/anvilhinge/src/adapters/direct_client_test.ts
@@ -168,6 +168,54 @@
   expect(outcome.end).toMatchObject({ kind: "broken", sent: true });
 });
 
+// Guards against a reset that the runtime reports as an orderly end.
+test("an answer without a length is incomplete after a reset with its last bytes", async () => {
+  for (let iteration = 0; iteration < 100; iteration += 1) {
+    const outcome = await runAttempt((socket) => {
+      socket.write(`${head}\r\npart`, () => socket.resetAndDestroy());
+    });
+    expect(outcome.frames.some(({ kind }) => kind === "end")).toBe(false);
+    expect(outcome.end).toMatchObject({ kind: "broken", sent: true });
+  }
+});
+
+// Guards against orderly ends that the check for a reset takes for one.
+test.each([
+  ["half-closed", (socket: net.Socket) => void socket.end(`${head}\r\nwhole`)],
+  [
+    "closed at once",
+    (socket: net.Socket) =>
+      void socket.write(`${head}\r\nwhole`, () => socket.destroy()),
+  ],
+  [
+    "closed after a pause",
+    (socket: net.Socket) => {
+      socket.write(`${head}\r\nwhole`);
+      setTimeout(() => socket.end(), 5);
+    },
+  ],
+])(
+  "an answer without a length whose connection is %s is whole",
+  async (_name, answer) => {
+    for (let iteration = 0; iteration < 50; iteration += 1) {
+      const outcome = await runAttempt(answer);
+      expect(readText(outcome)).toBe("whole");
+      expect(outcome.frames.at(-1)?.kind).toBe("end");
+      expect(outcome.end).toEqual({ kind: "closed" });
+    }
+  },
+);
+
+test.each(["HTTP/1.1 204 No\r\n", "HTTP/1.1 304 No\r\n"])(
+  "an answer without a body ends with its head: %j",
+  async (statusLine) => {
+    const outcome = await runAttempt((socket) => {
+      socket.write(`${statusLine}X-Id: r1\r\n\r\n`);
+    });
+    expect(outcome.frames.map(({ kind }) => kind)).toEqual(["accepted", "end"]);
+  },
+);
+
 test.each([
   ["with a length", `${head}Content-Length: 9\r\n\r\npart`],
   ["in chunks", `${head}Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n`],
