--- a/packages/anvilhinge/src/entry/callers/routed_http.ts
+++ b/packages/anvilhinge/src/entry/callers/routed_http.ts
@@ -15,6 +15,7 @@
 import * as runner from "../session/runner.ts";
 import * as session from "../session/session.ts";
 import * as routedAnswer from "./routed_answer.ts";
+import * as stopAdmission from "./stop_admission.ts";
 
 /** Whether the entry accepts requests, and how many are in progress. */
 export interface RoutedState {
@@ -22,10 +23,18 @@
   isLeaving: boolean;
   /** True once the entry refuses new requests. */
   isClosed: boolean;
+  /** Time at which a stop closes open connections; undefined before a stop. */
+  stopAtMs: number | undefined;
   /** Number of requests in progress. */
   openRequests: number;
 }
 
+export interface RoutedHandler {
+  readonly handleRequest: http.RequestListener;
+  /** Refuses requests that wait for a slot and can't end before the stop. */
+  refuseLateRequests(): void;
+}
+
 export interface RoutedHttpOptions {
   readonly dialect: callerDialect.CallerDialect;
   readonly view: routingView.RoutingView;
@@ -54,6 +63,7 @@
   readonly service: string;
   readonly workspace: routing.WorkspaceKeys | undefined;
   readonly arrivedAtMs: number;
+  readonly deadlineAtMs: number;
 }
 
 type RequestCheck =
@@ -61,6 +71,7 @@
   | ({ readonly kind: "refused" } & routedAnswer.ErrorAnswer);
 
 const notReadyRetryMs = 500;
+const lateReason = "this entry stops before the answer would end";
 /** Network latency allowed for the answer on its path to the caller. */
 const answerLatencyMs = 20;
 /** Used if the caller does not send how long it will wait. */
@@ -75,10 +86,14 @@
 const safeStallLatencyTargets = 3;
 
 /** Creates the request handler. */
-export function createRoutedHandler(
-  options: RoutedHttpOptions,
-): http.RequestListener {
+export function createRoutedHandler(options: RoutedHttpOptions): RoutedHandler {
   const { view, state, scheduler, dialect } = options;
+  const admission = stopAdmission.createStopAdmission({
+    clock: scheduler,
+    getStopAtMs: () => state.stopAtMs,
+  });
+  /** Refuse the requests that were never dispatched, if they are late. */
+  const lateChecks = new Set<() => void>();
 
   function checkRequest(request: http.IncomingMessage): RequestCheck {
     const arrivedAtMs = scheduler.now();
@@ -101,7 +116,19 @@
     const headers = dialect.decodeHeaders(request.rawHeaders);
     const service = routeTable.pickService(route, options.random);
     if (service === undefined) return buildUnknownRouteRefusal();
-    const accepted = { headers, route, service, arrivedAtMs };
+    const callerTimeLeftMs = headers.leftMs ?? defaultTimeLeftMs;
+    const leftMs = Math.min(callerTimeLeftMs, route.timeoutMs) -
+      answerLatencyMs;
+    const deadlineAtMs = arrivedAtMs + Math.max(0, leftMs);
+    const accepted = { headers, route, service, arrivedAtMs, deadlineAtMs };
+    if (!admission.hasTimeFor(getAnswerSize(accepted), deadlineAtMs)) {
+      return {
+        kind: "refused",
+        status: 503,
+        message: `The request did not run: ${lateReason}`,
+        retryAfterMs: 0,
+      };
+    }
     if (route.isPublic || table.settings.workspaces.length === 0) {
       return { kind: "accepted", ...accepted, workspace: undefined };
     }
@@ -158,10 +185,9 @@
       readonly response: http.ServerResponse;
     },
   ): void {
-    const { headers, route, service, workspace, arrivedAtMs } = accepted;
-    const callerTimeLeftMs = headers.leftMs ?? defaultTimeLeftMs;
-    const leftMs = Math.min(callerTimeLeftMs, route.timeoutMs) -
-      answerLatencyMs;
+    const { headers, route, service, workspace, arrivedAtMs, deadlineAtMs } =
+      accepted;
+    const leftMs = deadlineAtMs - arrivedAtMs;
     const requestId = headers.requestId ?? "";
     const isStream = route.kind === "stream";
     const sessionRequest: session.Request = {
@@ -179,7 +205,7 @@
       isNamed: false,
       digest: "",
       priority: workspace?.priority ?? route.priority,
-      deadlineAtMs: arrivedAtMs + Math.max(0, leftMs),
+      deadlineAtMs,
       delivery: isStream ? "events" : "whole",
       resumeAfter: headers.resumeAfter,
     };
@@ -187,6 +213,7 @@
     response.once("close", () => {
       if (!response.writableFinished) callerAbort.abort();
     });
+    let attemptCount = 0;
     let handleDecision: routedPolicy.DecisionHandler = () => {};
     const requestPolicy = options.policy.startRequest({
       requestId,
@@ -195,15 +222,33 @@
       workspace: sessionRequest.workspace,
       priority: sessionRequest.priority,
       size: headers.size,
-      deadlineAtMs: sessionRequest.deadlineAtMs,
-    }, (event) => handleDecision(event));
+      deadlineAtMs,
+    }, (event) => {
+      const isLate = event.kind === "granted" && attemptCount === 0 &&
+        !admission.hasTimeFor(size, deadlineAtMs);
+      if (isLate) refuseLate();
+      else handleDecision(event);
+    });
+    const size = getAnswerSize(accepted);
+
+    /** Answers a request that was never dispatched. */
+    function refuseLate(): void {
+      requestPolicy.withdrawSlotRequest();
+      handleDecision({ kind: "denied", reason: lateReason, retryAfterMs: 0 });
+    }
+
+    function checkLate(): void {
+      if (attemptCount > 0) lateChecks.delete(checkLate);
+      else if (!admission.hasTimeFor(size, deadlineAtMs)) refuseLate();
+    }
+
     const sink = routedAnswer.createRoutedAnswerWriter(response, {
       isWhole: !isStream,
       clock: scheduler,
       onFirst: requestPolicy.recordFirstPart,
       onGap: requestPolicy.recordGap,
     });
-    let attemptCount = 0;
+    lateChecks.add(checkLate);
     const settingsVersion = view.getTable()?.settings.version;
     state.openRequests += 1;
     const done = runner.runSession({
@@ -231,6 +276,7 @@
     });
     void done.then(() => {
       state.openRequests -= 1;
+      lateChecks.delete(checkLate);
       requestPolicy.end();
       const { firstAtMs, lastAtMs, longestPauseMs } = sink.getTimes();
       const dispatchRecord = requestPolicy.describe();
@@ -241,6 +287,7 @@
       const outcome = callerAbort.signal.aborted
         ? "gone"
         : describeOutcome(sink);
+      if (outcome === "answered") admission.recordAnswer(size, tookMs);
       options.metrics.recordRequest({
         kind: route.kind,
         priority: sessionRequest.priority,
@@ -271,7 +318,10 @@
     });
   }
 
-  return (request, response) => {
+  function handleRequest(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): void {
     if (state.isLeaving) response.setHeader("Connection", "close");
     const checked = checkRequest(request);
     if (checked.kind === "refused") return refuse(request, response, checked);
@@ -287,6 +337,23 @@
         });
       },
     });
+  }
+
+  return {
+    handleRequest,
+    refuseLateRequests() {
+      for (const check of [...lateChecks]) check();
+    },
+  };
+}
+
+function getAnswerSize(
+  { route, headers }: Pick<AcceptedRequest, "route" | "headers">,
+): stopAdmission.AnswerSize {
+  return {
+    route: route.name,
+    maxTokens: headers.size?.maxAnswerTokens,
+    targetMs: route.kind === "stream" ? undefined : route.latencyTargetMs,
   };
 }
 
--- a/packages/anvilhinge/src/entry/routed_entry.ts
+++ b/packages/anvilhinge/src/entry/routed_entry.ts
@@ -149,6 +149,7 @@
   const state: routedHttp.RoutedState = {
     isLeaving: false,
     isClosed: false,
+    stopAtMs: undefined,
     openRequests: 0,
   };
   let isReady = false;
@@ -256,24 +257,25 @@
     onUpstreams: policy.setUpstreams,
     onReady: setReady,
   });
+  const handler = routedHttp.createRoutedHandler({
+    dialect: platform.callerDialect,
+    view,
+    policy,
+    client: directClient.createDirectClient({
+      dialect: platform.upstreamDialect,
+      clock,
+      onRateLimit: policy.recordRateLimit,
+    }),
+    scheduler: clock,
+    random: options.random,
+    logger: log,
+    metrics: entryMetrics,
+    state,
+    maxKeyAgeMs,
+  });
   const callerServer = http.createServer(
     { maxHeaderSize: maxHeaderBytes, requestTimeout: 0 },
-    routedHttp.createRoutedHandler({
-      dialect: platform.callerDialect,
-      view,
-      policy,
-      client: directClient.createDirectClient({
-        dialect: platform.upstreamDialect,
-        clock,
-        onRateLimit: policy.recordRateLimit,
-      }),
-      scheduler: clock,
-      random: options.random,
-      logger: log,
-      metrics: entryMetrics,
-      state,
-      maxKeyAgeMs,
-    }),
+    handler.handleRequest,
   );
   const status: EntryStatus = {
     isReady: () => isReady && !state.isLeaving,
@@ -294,11 +296,20 @@
     platform.createDirectoryHandler(status),
   );
 
+  /** Refuses waiting requests as soon as the time left is too short. */
+  function watchLateRequests(): void {
+    handler.refuseLateRequests();
+    clock.schedule(watchLateRequests, {
+      delayMs: drainPollIntervalMs,
+      signal: abort.signal,
+    });
+  }
+
   async function stop(): Promise<void> {
-    const stopStartedAtMs = clock.now();
-    const stopDeadlineMs = stopStartedAtMs + settings.bounds.stopMs -
-      stopReserveMs;
+    const stopAtMs = clock.now() + settings.bounds.stopMs - stopReserveMs;
     state.isLeaving = true;
+    state.stopAtMs = stopAtMs;
+    watchLateRequests();
     roster.setState({ isReady, isLeaving: true });
     log.info("Stopping: address answers now omit this entry");
     // Callers use cached address answers that list this entry until they expire.
@@ -315,7 +326,7 @@
     log.info("Refusing new requests; finishing the open requests", {
       open: state.openRequests,
     });
-    while (state.openRequests > 0 && clock.now() < stopDeadlineMs) {
+    while (state.openRequests > 0 && clock.now() < stopAtMs) {
       await delay.waitFor(clock, { delayMs: drainPollIntervalMs });
     }
     // Requests that are still open are cut off by closing their connections.
