--- a/packages/anvilhinge/src/entry/callers/routed_http.ts
+++ b/packages/anvilhinge/src/entry/callers/routed_http.ts
@@ -25,7 +25,7 @@
   isClosed: boolean;
   /** Time at which a stop closes open connections; undefined before a stop. */
   stopAtMs: number | undefined;
-  /** Number of requests in progress. */
+  /** Number of requests whose answers have not been sent completely. */
   openRequests: number;
 }
 
@@ -251,6 +251,8 @@
     lateChecks.add(checkLate);
     const settingsVersion = view.getTable()?.settings.version;
     state.openRequests += 1;
+    // A caller that reads slowly receives the answer after the session's end.
+    response.once("close", () => void (state.openRequests -= 1));
     const done = runner.runSession({
       request: sessionRequest,
       session: session.createSession(sessionRequest, {
@@ -275,7 +277,6 @@
       onObserve: requestPolicy.recordOutcome,
     });
     void done.then(() => {
-      state.openRequests -= 1;
       lateChecks.delete(checkLate);
       requestPolicy.end();
       const { firstAtMs, lastAtMs, longestPauseMs } = sink.getTimes();
--- a/packages/anvilhinge/src/entry/routed_entry.ts
+++ b/packages/anvilhinge/src/entry/routed_entry.ts
@@ -7,6 +7,7 @@
 import type * as random from "@anvilhinge/coordination/random";
 import * as abortSignal from "../adapters/abort_signal.ts";
 import * as hostPort from "../adapters/address.ts";
+import * as connectionDrain from "../adapters/connection_drain.ts";
 import * as datagrams from "../adapters/datagrams.ts";
 import * as delay from "../adapters/delay.ts";
 import * as directClient from "../adapters/direct_client.ts";
@@ -277,6 +278,7 @@
     { maxHeaderSize: maxHeaderBytes, requestTimeout: 0 },
     handler.handleRequest,
   );
+  const callerConnections = connectionDrain.createConnectionDrain(callerServer);
   const status: EntryStatus = {
     isReady: () => isReady && !state.isLeaving,
     findAddresses() {
@@ -321,8 +323,7 @@
     );
     await delay.waitFor(clock, { delayMs: addressCacheMs });
     state.isClosed = true;
-    callerServer.close();
-    callerServer.closeIdleConnections();
+    callerConnections.closeIdle();
     log.info("Refusing new requests; finishing the open requests", {
       open: state.openRequests,
     });
