--- a/packages/anvilhinge/src/entry/routing/routing_view.ts
+++ b/packages/anvilhinge/src/entry/routing/routing_view.ts
@@ -151,10 +151,10 @@
     if (object.version <= routingVersion) return;
     const settings = source.decodeRouting(object);
     if (settings === undefined) {
-      logger.warn("Ignored an object without valid routing settings", {
-        key: object.key,
-        version: object.version,
-      });
+      logger.warnOnce(
+        `settings/${object.key}/${object.version}`,
+        `Ignored ${object.key}: version ${object.version} has no valid settings`,
+      );
       return;
     }
     routingVersion = object.version;
