--- a/packages/anvilhinge/src/entry/choice/routed_policy.ts
+++ b/packages/anvilhinge/src/entry/choice/routed_policy.ts
@@ -152,8 +152,8 @@
     event: Parameters<DecisionHandler>[0],
     by: workClient.WorkEvent["by"],
   ) => void;
-  /** Requests a slot again, at another upstream than one that is not listed. */
-  readonly requestAgain: (unlistedId: string) => void;
+  /** Requests a slot again, at another upstream than an unusable one. */
+  readonly requestAgain: (unusableId: string) => void;
 }
 
 const noUpstreamRetryMs = 1_000;
@@ -244,8 +244,9 @@
         event.by,
       );
     }
+    // The hub's view of the upstreams may be older than that of this entry.
     const granted = tracked.get(event.upstreamId);
-    if (granted === undefined) {
+    if (granted?.listed.state !== "serving") {
       slots.drop(event.key);
       return request.requestAgain(event.upstreamId);
     }
@@ -269,6 +270,14 @@
     );
   }
 
+  function listLeavingIds(service: string): readonly string[] {
+    return [...tracked.values()].map(({ listed }) => listed)
+      .filter((listed) =>
+        listed.service === service && listed.state === "leaving"
+      )
+      .map(({ id }) => id);
+  }
+
   /** Finds the lowest gap target of a service's routes, in milliseconds. */
   function findGapTargetMs(service: string): number {
     const targets = routes
@@ -408,8 +417,8 @@
           waitedMs += clock.now() - nowMs;
           onDecision(event);
         },
-        requestAgain(unlistedId) {
-          const choice = requestSlot(new Set([...attemptedIds, unlistedId]));
+        requestAgain(unusableId) {
+          const choice = requestSlot(new Set([...attemptedIds, unusableId]));
           if (choice.kind !== "none") return;
           const { reason, retryAfterMs } = choice;
           onDecision({ kind: "denied", reason, retryAfterMs });
@@ -425,7 +434,11 @@
           request.size?.maxAnswerTokens ?? 0,
         aimLeftMs: request.route.latencyTargetMs - (nowMs - arrivedAtMs),
         leftMs: request.deadlineAtMs - nowMs,
-        avoided: [...attemptedIds, ...ejected],
+        avoided: [
+          ...attemptedIds,
+          ...ejected,
+          ...listLeavingIds(request.service),
+        ],
       });
       return { kind: "wait" };
     }
