--- a/packages/anvilhinge/src/adapters/direct_client.ts
+++ b/packages/anvilhinge/src/adapters/direct_client.ts
@@ -13,6 +13,7 @@
 import type * as frames from "../ports/frames.ts";
 import type * as upstreamDialect from "../ports/upstream_dialect.ts";
 import * as address from "./address.ts";
+import * as connectionEnds from "./connection_end.ts";
 import * as httpHeaders from "./http_headers.ts";
 
 export interface DirectClientOptions {
@@ -59,9 +60,6 @@
   };
 }
 
-/** How an upstream ended its side of the connection. */
-type ConnectionEnd = "orderly" | "reset";
-
 interface Call extends DirectClientOptions {
   readonly stream: agentClient.StreamOptions;
 }
@@ -72,7 +70,7 @@
   const socket = net.connect({
     ...address.parseAddress(stream.address),
     noDelay: true,
-    // Keeps the socket writable after the upstream's end; see `checkEnd`.
+    // `checkEnd` writes after the upstream's end.
     allowHalfOpen: true,
   });
   socket.setTimeout(connectTimeoutMs, () => {
@@ -82,18 +80,6 @@
   return socket;
 }
 
-/**
- * Tells a reset from an orderly end. The runtime reports a reset that arrives
- * with the last bytes as an end without an error; the error stays pending at the
- * socket. An empty write returns it and sends nothing.
- */
-function checkEnd(
-  socket: net.Socket,
-  onChecked: (connectionEnd: ConnectionEnd) => void,
-): void {
-  socket.write("", (error) => onChecked(error ? "reset" : "orderly"));
-}
-
 /** Whether only the end of the connection ends the body of the answer. */
 function isCloseDelimited(
   { headers, statusCode = 0 }: http.IncomingMessage,
@@ -114,7 +100,7 @@
   let isConnected = false;
   let isEnded = false;
   let answer: http.IncomingMessage | undefined;
-  let connectionEnd: ConnectionEnd | "unchecked" | undefined;
+  let connectionEnd: connectionEnds.ConnectionEnd | "unchecked" | undefined;
   let isAnswerClosed = false;
   /** Whether the head or data arrived since the last check of empty runs. */
   let hasProgressed = false;
@@ -227,7 +213,7 @@
     if (answer === undefined || !isCloseDelimited(answer, method)) return;
     const response = answer;
     connectionEnd = "unchecked";
-    checkEnd(socket, (checked) => {
+    connectionEnds.checkEnd(socket, (checked) => {
       connectionEnd = checked;
       finishAnswer(response);
     });
--- a/packages/anvilhinge/src/adapters/engine_http.ts
+++ b/packages/anvilhinge/src/adapters/engine_http.ts
@@ -31,8 +31,6 @@
   readonly scheduler: scheduler.Scheduler;
   /** Stops reading the load and cancels all work. */
   readonly signal: AbortSignal;
-  /** @default a new connection pool */
-  readonly dispatcher?: undici.Dispatcher;
 }
 
 /**
@@ -41,7 +39,8 @@
  */
 export function createHttpEngine(options: HttpEngineOptions): engine.Engine {
   const { scheduler: timers, signal, loadIntervalMs } = options;
-  const dispatcher = options.dispatcher ?? httpClient.createDispatcher();
+  const pool = httpClient.createResetCountingPool();
+  const { dispatcher } = pool;
   const target = httpClient.parseTarget(options.baseUrl);
   let reportedLoad: engine.EngineLoad | undefined;
   let inFlight = 0;
@@ -54,16 +53,14 @@
 
   async function run(request: engine.EngineRequest): Promise<void> {
     inFlight += 1;
-    const outcome = await execute(request, { dispatcher, target, signal });
+    const outcome = await execute(request, { pool, target, signal });
     inFlight -= 1;
     request.onEvent(outcome);
   }
 
-  if (options.dispatcher === undefined) {
-    signal.addEventListener("abort", () => void dispatcher.destroy(), {
-      once: true,
-    });
-  }
+  signal.addEventListener("abort", () => void dispatcher.destroy(), {
+    once: true,
+  });
   void updateLoad();
   return {
     start: (request) => void run(request),
@@ -72,7 +69,7 @@
 }
 
 interface Connection {
-  readonly dispatcher: undici.Dispatcher;
+  readonly pool: httpClient.ResetCountingPool;
   readonly target: httpClient.Target;
   readonly signal: AbortSignal;
 }
@@ -85,10 +82,11 @@
 /** Runs a request; emits all events except the last, which it returns. */
 async function execute(
   request: engine.EngineRequest,
-  { dispatcher, target, signal }: Connection,
+  { pool, target, signal }: Connection,
 ): Promise<LastEvent> {
   try {
-    const response = await dispatcher.request({
+    const resetsBefore = await pool.countResets();
+    const response = await pool.dispatcher.request({
       origin: target.origin,
       path: target.basePath + request.path,
       method: request.method as undici.Dispatcher.HttpMethod,
@@ -102,7 +100,13 @@
     for await (const data of response.body) {
       request.onEvent({ kind: "data", data });
     }
-    return { kind: "end" };
+    // It is not known which connection was reset, so that an answer that ends with
+    // its connection also fails if another connection was.
+    const isWhole = !isCloseDelimited(response.headers) ||
+      await pool.countResets() === resetsBefore;
+    if (isWhole) return { kind: "end" };
+    const message = "The connection was reset before the answer's end";
+    return { kind: "failed", message, started: true };
   } catch (error) {
     const message = httpClient.describeError(error);
     const started = !httpClient.isConnectionRefused(error);
@@ -110,6 +114,14 @@
   }
 }
 
+/** Whether the body, if there is one, ends with the connection. */
+function isCloseDelimited(
+  headers: Readonly<Record<string, unknown>>,
+): boolean {
+  return headers["content-length"] === undefined &&
+    headers["transfer-encoding"] === undefined;
+}
+
 function composeHeaders(request: engine.EngineRequest): string[] {
   const forwarded = request.headers.filter(([name]) => isForwarded(name));
   return [
@@ -143,7 +155,11 @@
 
 /** Fetches the load; undefined if the engine does not report it. */
 async function fetchLoad(
-  { dispatcher, target, signal }: Connection,
+  { dispatcher, target, signal }: {
+    readonly dispatcher: undici.Dispatcher;
+    readonly target: httpClient.Target;
+    readonly signal: AbortSignal;
+  },
 ): Promise<engine.EngineLoad | undefined> {
   try {
     const response = await dispatcher.request({
--- a/packages/anvilhinge/src/adapters/engine_http_test.ts
+++ b/packages/anvilhinge/src/adapters/engine_http_test.ts
@@ -1,3 +1,4 @@
+import * as net from "node:net";
 import * as random from "@anvilhinge/coordination/random";
 import type * as ports from "../ports/engine.ts";
 import * as answer from "../stand_ins/answer.ts";
@@ -236,3 +237,58 @@
     expect((await send(client, read)).head?.status).toBe(200);
   });
 });
+
+describe("an answer without a length or chunks", () => {
+  const head = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
+
+  /** Runs one request whose connection `answer` serves. */
+  async function sendRaw(
+    answer: (socket: net.Socket) => void,
+  ): Promise<SendResult> {
+    const server = net.createServer((socket) => {
+      socket.on("error", () => {});
+      socket.once("data", (data) => {
+        // Reads of the load are not answered.
+        if (data.toString().startsWith("POST")) answer(socket);
+      });
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, "127.0.0.1", resolve);
+    });
+    const { port } = server.address() as net.AddressInfo;
+    const engine = connect(`http://127.0.0.1:${port}`);
+    const result = await send(engine, { method: "POST", path: "/", value: 1 });
+    server.close();
+    return result;
+  }
+
+  // Guards against a part of an answer that passes for the whole.
+  it.each([
+    ["with its last bytes", 0],
+    ["after its last bytes", 20],
+  ])("has failed after a reset %s", async (_, delayMs) => {
+    for (let iteration = 0; iteration < 30; iteration += 1) {
+      const { last } = await sendRaw((socket) => {
+        socket.write(`${head}part`, () => {
+          if (delayMs === 0) socket.resetAndDestroy();
+          else setTimeout(() => socket.resetAndDestroy(), delayMs);
+        });
+      });
+      expect(last).toMatchObject({ kind: "failed", started: true });
+    }
+  });
+
+  it.each([
+    ["half-closed", (socket: net.Socket) => void socket.end(`${head}whole`)],
+    [
+      "closed at once",
+      (socket: net.Socket) =>
+        void socket.write(`${head}whole`, () => socket.destroy()),
+    ],
+  ])("is whole if the connection is %s", async (_, answer) => {
+    for (let iteration = 0; iteration < 30; iteration += 1) {
+      const { last, text } = await sendRaw(answer);
+      expect({ last, text }).toEqual({ last: { kind: "end" }, text: "whole" });
+    }
+  });
+});
