--- a/packages/anvilhinge/src/adapters/direct_client.ts
+++ b/packages/anvilhinge/src/adapters/direct_client.ts
@@ -74,7 +74,11 @@
     allowHalfOpen: true,
   });
   socket.setTimeout(connectTimeoutMs, () => {
-    socket.destroy(new Error("The connection took too long"));
+    // After a stall of this process, its timers run before its socket events.
+    setImmediate(() => {
+      if (!socket.connecting) return;
+      socket.destroy(new Error("The connection took too long"));
+    });
   });
   socket.once("connect", () => socket.setTimeout(0));
   return socket;
--- a/packages/anvilhinge/src/adapters/direct_client_test.ts
+++ b/packages/anvilhinge/src/adapters/direct_client_test.ts
@@ -47,6 +47,8 @@
     readonly abortAfterMs?: number;
     readonly isDown?: boolean;
     readonly flow?: agentClient.AnswerFlow;
+    /** Time for which the event loop is blocked after the start. */
+    readonly stallMs?: number;
   } = {},
 ): Promise<Outcome> {
   let received = "";
@@ -108,6 +110,8 @@
         setTimeout(resolve, 20);
       },
     });
+    const stalledUntilMs = performance.now() + (options.stallMs ?? 0);
+    while (performance.now() < stalledUntilMs);
     if (options.abortAfterMs !== undefined) {
       setTimeout(() => {
         abort.abort();
@@ -257,6 +261,16 @@
   expect(outcome.end).toMatchObject({ kind: "broken", sent: false });
 });
 
+// Guards against timers that run before the events of a stalled event loop.
+test("a connection that was made while this process was stalled is used", async () => {
+  const outcome = await runAttempt(
+    (socket) => socket.end(`${head}Content-Length: 2\r\n\r\nok`),
+    { stallMs: 400 },
+  );
+  expect(outcome.end).toEqual({ kind: "closed" });
+  expect(readText(outcome)).toBe("ok");
+});
+
 test("an aborted attempt closes its connection", async () => {
   let isClosed = false;
   await runAttempt((socket) => {
