--- a/packages/anvilhinge/src/entry/routing/routing_view.ts
+++ b/packages/anvilhinge/src/entry/routing/routing_view.ts
@@ -62,7 +62,10 @@
   readonly onUpstreams: (
     upstreams: readonly routing.ListedUpstream[],
   ) => void;
-  /** Called once, after the settings and the upstreams were first read. */
+  /**
+   * Called once, after the upstreams and settings not older than the hub's were
+   * first read.
+   */
   readonly onReady: () => void;
 }
 
@@ -114,6 +117,7 @@
 
   function checkReady(): void {
     if (isReady || table === undefined || !hasListedUpstreams) return;
+    if (!hasStoreNewestSettings()) return;
     isReady = true;
     options.onReady();
   }
