--- a/packages/anvilhinge/src/entry/callers/routed_http.ts
+++ b/packages/anvilhinge/src/entry/callers/routed_http.ts
@@ -213,6 +213,7 @@
     response.once("close", () => {
       if (!response.writableFinished) callerAbort.abort();
     });
+    const size = getAnswerSize(accepted);
     let attemptCount = 0;
     let handleDecision: routedPolicy.DecisionHandler = () => {};
     const requestPolicy = options.policy.startRequest({
@@ -229,7 +230,6 @@
       if (isLate) refuseLate();
       else handleDecision(event);
     });
-    const size = getAnswerSize(accepted);
 
     /** Answers a request that was never dispatched. */
     function refuseLate(): void {
