--- a/packages/anvilhinge/src/entry/choice/routed_policy.ts
+++ b/packages/anvilhinge/src/entry/choice/routed_policy.ts
@@ -123,6 +123,8 @@
   readonly scheduler: scheduler.Scheduler;
   /** Includes the time for which the machine is suspended. */
   readonly elapsed: clockPort.Clock;
+  /** See `WorkClientOptions`. */
+  readonly isKnownToHub?: (upstreamId: string) => boolean;
   readonly random: random.RandomSource;
   readonly logger: logger.Logger;
   readonly metrics: Pick<
@@ -220,6 +222,7 @@
     members: options.members,
     scheduler: clock,
     elapsed: options.elapsed,
+    isKnownToHub: options.isKnownToHub,
     random: options.random,
     sockets: options.sockets,
     logger: options.logger,
--- a/packages/anvilhinge/src/entry/choice/slot_coordinator.ts
+++ b/packages/anvilhinge/src/entry/choice/slot_coordinator.ts
@@ -31,6 +31,8 @@
   readonly scheduler: scheduler.Scheduler;
   /** Includes the time for which the machine is suspended. */
   readonly elapsed: clock.Clock;
+  /** See `WorkClientOptions`. */
+  readonly isKnownToHub?: (upstreamId: string) => boolean;
   readonly random: random.RandomSource;
   readonly sockets: datagrams.Datagrams;
   readonly logger: logger.Logger;
@@ -86,6 +88,7 @@
   const client = workClient.createWorkClient({
     clock: scheduler,
     elapsed: options.elapsed,
+    isKnownToHub: options.isKnownToHub,
     random: options.random,
     entryId: options.entryId,
     failureDomain: options.failureDomain,
--- a/packages/anvilhinge/src/entry/control/roster_node.ts
+++ b/packages/anvilhinge/src/entry/control/roster_node.ts
@@ -22,6 +22,11 @@
   readonly region: string;
   readonly isReady: boolean;
   readonly isLeaving: boolean;
+  /**
+   * Whether another entry had a newer view lately.
+   * @default false
+   */
+  readonly isOutdated?: boolean;
 }
 
 export type EntryMember = roster.MemberInfo<EntryDetails>;
@@ -40,12 +45,16 @@
   readonly scheduler: scheduler.Scheduler;
   /** Clock that also advances while the machine is suspended. */
   readonly elapsed: clock.Clock;
-  /** Returns the status that this entry sends while it is the hub. */
-  readonly readHubStatus: () => routingView.ViewStatus;
+  /** Returns the status of this entry, which it sends to other entries. */
+  readonly readStatus: () => routingView.ViewStatus;
   /** Called with each status received from the hub. */
   readonly onHubStatus: (
     received: roster.ReceivedHubStatus<routingView.ViewStatus>,
   ) => void;
+  /** Called with each status received from an entry that is not the hub. */
+  readonly onMemberStatus: (status: routingView.ViewStatus) => void;
+  /** Whether another entry is known to have a newer view. */
+  readonly isViewOutdated: () => boolean;
   readonly sockets: datagrams.Datagrams;
   readonly logger: logger.Logger;
   readonly signal: AbortSignal;
@@ -71,21 +80,27 @@
  * a divided network may still contain it.
  */
 const unreachableTtlMs = 30_000;
+/**
+ * Time for which an entry whose view was outdated is not the hub if others can
+ * be. Each change of the hub interrupts the assignment of slots for a moment.
+ */
+const outdatedHoldMs = 5_000;
 
 /** Starts the roster; it sends its first messages at the first tick. */
 export function startRosterNode(options: RosterNodeOptions): RosterNode {
   const { scheduler, signal, logger } = options;
   const machine = roster.createRoster<EntryDetails, routingView.ViewStatus>({
     clock: options.elapsed,
-    readHubStatus: options.readHubStatus,
+    readStatus: options.readStatus,
     onHubStatus: options.onHubStatus,
+    onMemberStatus: options.onMemberStatus,
     self: options.self,
-    // An entry without a view, or that is about to stop, would assign no slots.
-    getCapacity: ({ capacity = 0, isReady, isLeaving }) =>
-      isReady && !isLeaving ? capacity : 0,
+    getTier,
+    getCapacity: ({ capacity = 0 }) => capacity,
     seeds: options.seeds,
   });
   let { details } = options.self;
+  let outdatedAtMs = -Infinity;
   let loggedHubId: string | undefined;
   let loggedIds = "";
 
@@ -112,7 +127,20 @@
     });
   }
 
+  function updateOutdated(): void {
+    const nowMs = options.elapsed.now();
+    if (options.isViewOutdated()) outdatedAtMs = nowMs;
+    const isOutdated = nowMs - outdatedAtMs < outdatedHoldMs;
+    if (isOutdated === (details.isOutdated ?? false)) return;
+    logger.info("Changed whether this entry's view counts as outdated", {
+      isOutdated,
+    });
+    details = { ...details, isOutdated };
+    send(machine.setDetails(details));
+  }
+
   function tick(): void {
+    updateOutdated();
     send(machine.tick());
     writeMembershipLog();
     scheduler.schedule(tick, { delayMs: roster.tickMs, signal });
@@ -139,3 +167,15 @@
     isHub: machine.isHub,
   };
 }
+
+/**
+ * Returns the tier of an entry for the role of the hub. An entry without a view,
+ * or that is about to stop, would assign no slots; one with an outdated view would
+ * assign those of upstreams that have left, and none of new ones.
+ */
+function getTier(
+  { isReady, isLeaving, isOutdated = false }: EntryDetails,
+): number {
+  if (!isReady || isLeaving) return 0;
+  return isOutdated ? 1 : 2;
+}
--- a/packages/anvilhinge/src/entry/routing/followed_prefix.ts
+++ b/packages/anvilhinge/src/entry/routing/followed_prefix.ts
@@ -1,6 +1,8 @@
 /**
  * Follows one prefix of the object store and tracks the age of its view. The
  * view is confirmed by the store or, to save store calls, by the hub's status.
+ * Other entries report the versions of their views; a view that lacks what
+ * another contains is read again, and is outdated while that does not help.
  */
 import type * as clock from "@anvilhinge/coordination/clock";
 import type * as random from "@anvilhinge/coordination/random";
@@ -8,7 +10,7 @@
 import type * as scheduler from "../../ports/scheduler.ts";
 import * as storeFollower from "../control/store_follower.ts";
 
-/** Version and age of an entry's view of one prefix, as sent by the hub. */
+/** Version and age of an entry's view of one prefix, as sent to other entries. */
 export interface PrefixStatus {
   /** Era of the store that the version belongs to. */
   readonly era: number;
@@ -54,6 +56,13 @@
   readStatus(): PrefixStatus;
   /** Applies a status that the hub sampled after this time of `elapsed`. */
   applyHubStatus(status: PrefixStatus, sampledAfterMs: number): void;
+  /** Applies the position of another entry's view. */
+  observePosition(position: objectStore.StorePosition): void;
+  /**
+   * Whether another entry's view is known to contain changes that the store has
+   * not delivered to this entry for some time.
+   */
+  isOutdated(): boolean;
 }
 
 /** Mean delay after the first failed call; it doubles up to about a second. */
@@ -76,10 +85,15 @@
  */
 const hubConfirmedShare = 0.55;
 /**
- * Time in which the watch should deliver a change that the hub's view contains.
+ * Time in which the watch should deliver a change that another view contains.
  * Afterwards the watch is assumed to be broken and is replaced.
  */
 const watchLagTimeoutMs = 300;
+/**
+ * Time after which a view that lacks such a change is outdated. It covers the
+ * watch, and a list from a store whose answers take some hundred milliseconds.
+ */
+const outdatedAfterMs = 1_000;
 const checkIntervalMs = 250;
 /**
  * Window in which changes are batched, because they come in bursts. The delay
@@ -107,7 +121,12 @@
   /** Highest object version in the view. */
   let objectVersion = 0;
   let confirmedAtMs = -Infinity;
+  /** Newest position of another entry's view since the last list. */
+  let newestPosition: objectStore.StorePosition | undefined;
+  /** Time since which this view lacks what another contains. */
   let behindSinceMs: number | undefined;
+  /** Whether the prefix is being listed in place of a watch. */
+  let isListing = false;
 
   function getAgeMs(): number {
     return elapsed.now() - confirmedAtMs;
@@ -123,6 +142,30 @@
     return isUnavailable ? unavailableConfirmIntervalMs : confirmIntervalMs;
   }
 
+  /** Whether this view certainly lacks what the position covers. */
+  function isBehind(position: objectStore.StorePosition): boolean {
+    return position.era === era
+      ? position.version > coveredVersion
+      : position.era > era;
+  }
+
+  function observePosition(position: objectStore.StorePosition): void {
+    if (!isBehind(position)) return;
+    const isNewest = newestPosition === undefined ||
+      position.era > newestPosition.era ||
+      (position.era === newestPosition.era &&
+        position.version > newestPosition.version);
+    if (isNewest) newestPosition = { ...position };
+    behindSinceMs ??= elapsed.now();
+  }
+
+  /** Forgets the newest position once this view covers it. */
+  function updateBehind(): void {
+    if (newestPosition !== undefined && isBehind(newestPosition)) return;
+    newestPosition = undefined;
+    behindSinceMs = undefined;
+  }
+
   /** Starts the versions anew; those of another era aren't comparable. */
   function enterEra(nextEra: number): void {
     if (nextEra === era) return;
@@ -135,7 +178,7 @@
   function follow(startFrom?: objectStore.StorePosition): void {
     watchAbort.abort();
     watchAbort = new AbortController();
-    behindSinceMs = undefined;
+    isListing = startFrom === undefined;
     storeFollower.followPrefix({
       store: options.store,
       scheduler,
@@ -157,6 +200,10 @@
         enterEra(listEra);
         coveredVersion = Math.max(coveredVersion, version);
         for (const object of objects) recordVersion(object.version);
+        isListing = false;
+        // No view can be newer than the store's answer.
+        newestPosition = undefined;
+        updateBehind();
         options.onList(objects, era);
       },
       onObject(object) {
@@ -182,13 +229,14 @@
   function check(): void {
     const isRequestNeeded = options.isHub() ||
       getAgeMs() > hubConfirmedShare * maxAgeMs;
-    const isWatchBehind = behindSinceMs !== undefined &&
+    updateBehind();
+    const isWatchBehind = !isListing && behindSinceMs !== undefined &&
       elapsed.now() - behindSinceMs > watchLagTimeoutMs;
     const wasRequesting = isRequestingConfirmations;
     isRequestingConfirmations = isRequestNeeded;
     if (isWatchBehind) follow();
     // A pending watch call would wait longer than the new confirmation interval.
-    else if (isRequestNeeded && !wasRequesting) {
+    else if (isRequestNeeded && !wasRequesting && !isListing) {
       follow({ era, version: coveredVersion });
     }
     scheduler.schedule(check, { delayMs: checkIntervalMs, signal });
@@ -207,14 +255,16 @@
       };
     },
     applyHubStatus({ era: hubEra, version, ageMs }, sampledAfterMs) {
-      if (hubEra < era) return;
-      if (hubEra > era || version > coveredVersion) {
-        behindSinceMs ??= elapsed.now();
-        return;
-      }
-      behindSinceMs = undefined;
-      if (ageMs === undefined || !isStoreCurrent()) return;
+      const position = { era: hubEra, version };
+      if (isBehind(position)) return observePosition(position);
+      if (hubEra < era || ageMs === undefined || !isStoreCurrent()) return;
       confirmedAtMs = Math.max(confirmedAtMs, sampledAfterMs - ageMs);
     },
+    observePosition,
+    isOutdated() {
+      updateBehind();
+      return behindSinceMs !== undefined &&
+        elapsed.now() - behindSinceMs > outdatedAfterMs;
+    },
   };
 }
--- a/packages/anvilhinge/src/entry/routing/routing_view.ts
+++ b/packages/anvilhinge/src/entry/routing/routing_view.ts
@@ -36,7 +36,7 @@
   ): routing.ListedUpstream | undefined;
 }
 
-/** Versions and ages of the hub's view, sent to the other entries. */
+/** Versions and ages of an entry's view, sent to other entries. */
 export interface ViewStatus {
   readonly routing: followedPrefix.PrefixStatus;
   readonly upstreams: followedPrefix.PrefixStatus;
@@ -78,6 +78,18 @@
   readStatus(): ViewStatus;
   /** Applies a status that the hub sampled after this time of `elapsed`. */
   applyHubStatus(status: ViewStatus, sampledAfterMs: number): void;
+  /** Applies the status of an entry that is not the hub. */
+  applyMemberStatus(status: ViewStatus): void;
+  /**
+   * Whether another entry is known to have a newer view, and the store does not
+   * deliver the changes to this entry.
+   */
+  isOutdated(): boolean;
+  /**
+   * Whether the hub's view contains the latest record of an upstream; true if
+   * that is unknown.
+   */
+  isKnownToHub(upstreamId: string): boolean;
 }
 
 /**
@@ -101,6 +113,10 @@
   const departed = departures.createDepartures({ clock: options.elapsed });
   /** Copied records of upstreams that have left, by key. */
   const held = new Map<string, objectStore.StoredObject>();
+  /** Store versions of the records of listed upstreams, by upstream id. */
+  const recordVersions = new Map<string, number>();
+  /** Position of the hub's upstreams; undefined before its first status. */
+  let hubUpstreams: objectStore.StorePosition | undefined;
   let upstreamsEra: number | undefined;
   let routingEra: number | undefined;
   let table: routeTable.RouteTable | undefined;
@@ -191,6 +207,7 @@
     expired.delete(object.key);
     const previous = upstreams.get(object.key);
     upstreams.set(object.key, upstream);
+    recordVersions.set(upstream.id, object.version);
     const hasChanged = JSON.stringify(previous) !== JSON.stringify(upstream);
     if (hasChanged) {
       logger.info("Upstream added or changed", {
@@ -210,6 +227,7 @@
     const upstream = upstreams.get(key);
     if (upstream === undefined) return false;
     upstreams.delete(key);
+    recordVersions.delete(upstream.id);
     if (reason !== "malformed") departed.record(key, upstream.startedAtMs);
     logger.info("Removed an upstream", { upstream: upstream.id, reason });
     return true;
@@ -338,6 +356,19 @@
       hubSettingsVersion = Math.max(hubSettingsVersion, status.settingsVersion);
       followedRouting.applyHubStatus(status.routing, sampledAfterMs);
       followedUpstreams.applyHubStatus(status.upstreams, sampledAfterMs);
+      const { era, version } = status.upstreams;
+      hubUpstreams = { era, version };
+    },
+    applyMemberStatus(status) {
+      followedRouting.observePosition(status.routing);
+      followedUpstreams.observePosition(status.upstreams);
+    },
+    isOutdated: () =>
+      followedRouting.isOutdated() || followedUpstreams.isOutdated(),
+    isKnownToHub(upstreamId) {
+      if (options.isHub() || hubUpstreams?.era !== upstreamsEra) return true;
+      const version = recordVersions.get(upstreamId) ?? 0;
+      return version <= (hubUpstreams?.version ?? Infinity);
     },
   };
 }
--- a/packages/anvilhinge/src/entry/routing/routing_view_test.ts
+++ b/packages/anvilhinge/src/entry/routing/routing_view_test.ts
@@ -295,6 +295,72 @@
   expect(view.getAgeMs()).toBeLessThan(10);
 });
 
+describe("when another entry has a newer view", () => {
+  async function createBehind() {
+    const created = await createView({ isHub: true });
+    const { fake, view } = created;
+    // The watch doesn't deliver this change.
+    fake.setUnavailable(true);
+    const version = fake.put("servers/u3", "serving");
+    const status = view.readStatus();
+    const newer = { ...status, upstreams: { ...status.upstreams, version } };
+    view.applyMemberStatus(newer);
+    return { ...created, newer };
+  }
+
+  test("the view is outdated after a second, until the store answers", async () => {
+    const { fake, scheduler, view } = await createBehind();
+    await scheduler.advanceAsync(900);
+    expect(view.isOutdated()).toBe(false);
+    await scheduler.advanceAsync(200);
+    expect(view.isOutdated()).toBe(true);
+    fake.setUnavailable(false);
+    await scheduler.advanceAsync(2_000);
+    expect(view.isOutdated()).toBe(false);
+  });
+
+  test("the prefix is listed instead of watched", async () => {
+    const { fake, scheduler, getUpstreams, view } = await createBehind();
+    fake.setUnavailable(false);
+    await scheduler.advanceAsync(900);
+    expect(getUpstreams()).toContain("u3 serving");
+    expect(view.isOutdated()).toBe(false);
+  });
+
+  test("a status of an older view changes nothing", async () => {
+    const { scheduler, view, newer } = await createBehind();
+    const { upstreams } = newer;
+    const older = { ...upstreams, version: upstreams.version - 2 };
+    view.applyMemberStatus({ ...newer, upstreams: older });
+    await scheduler.advanceAsync(1_100);
+    expect(view.isOutdated()).toBe(true);
+  });
+
+  test("a view of an earlier era is outdated", async () => {
+    const { fake, scheduler, view } = await createView({ isHub: true });
+    fake.setUnavailable(true);
+    const status = view.readStatus();
+    const { era, version } = status.upstreams;
+    const upstreams = { era: era + 1, version: version - 1, ageMs: 0 };
+    view.applyMemberStatus({ ...status, upstreams });
+    await scheduler.advanceAsync(1_100);
+    expect(view.isOutdated()).toBe(true);
+  });
+});
+
+test("a record is known to the hub if the hub's view has its version", async () => {
+  const { fake, view, scheduler } = await createView();
+  const hubStatus = view.readStatus();
+  view.applyHubStatus(hubStatus, scheduler.now());
+  const version = fake.put("servers/u3", "serving");
+  const object = { key: "servers/u3", value: "serving", version };
+  fake.emit("servers/", { kind: "changed", object });
+  expect(["u2", "u3"].map(view.isKnownToHub)).toEqual([true, false]);
+  const upstreams = { ...hubStatus.upstreams, version };
+  view.applyHubStatus({ ...hubStatus, upstreams }, scheduler.now());
+  expect(view.isKnownToHub("u3")).toBe(true);
+});
+
 test("only the hub, or an entry that receives no hub status, requests confirmations", async () => {
   const { fake, scheduler, view } = await createView();
   const applyFreshStatus = () => {
--- a/packages/coordination/src/dispatch/work_client.ts
+++ b/packages/coordination/src/dispatch/work_client.ts
@@ -3,7 +3,9 @@
  * occupy one, reports them to the hub and applies its decisions. While no hub
  * answers, the entry decides itself and uses an equal share of the slots, so
  * that all entries together do not exceed the number of slots. Upstreams with a
- * rate limit are then left out: no share of a low limit is a whole request.
+ * rate limit are then left out: no share of a low limit is a whole request. The
+ * same holds for upstreams that a hub with an older view does not know, and so
+ * can't assign.
  */
 import type * as clock from "../clock.ts";
 import type * as random from "../random.ts";
@@ -17,6 +19,11 @@
   readonly random: random.RandomSource;
   readonly entryId: string;
   readonly failureDomain: string;
+  /**
+   * Whether the hub's view of the upstreams contains this one.
+   * @default () => true
+   */
+  readonly isKnownToHub?: (upstreamId: string) => boolean;
   /** Returns the number of entries that share the slots, including this one. */
   readonly countEntries: () => number;
   /**
@@ -98,7 +105,7 @@
 
 /** Creates the client of one entry. */
 export function createWorkClient(options: WorkClientOptions): WorkClient {
-  const { clock } = options;
+  const { clock, isKnownToHub = () => true } = options;
   const hubTimeoutMs = options.hubTimeoutMs ?? defaultHubTimeoutMs;
   const maxWaitMs = options.maxWaitMs ?? defaultMaxWaitMs;
   const pending = new Map<string, PendingRequest>();
@@ -109,6 +116,8 @@
   const firstPartsByPool = new Map<string, number[]>();
   const limits = options.rateLimits ?? rateLimits.createRateLimits({ clock });
   let upstreams: readonly work.UpstreamSpec[] = [];
+  /** Those of them that the hub can't assign. */
+  let unknownToHub: readonly work.UpstreamSpec[] = [];
   /** Hash of the hub's rate limits in its last answer. */
   let hubHash: number | undefined;
   /** Build times of the latest states, by sequence. */
@@ -116,29 +125,43 @@
   let sequence = 0;
   let answeredAtMs = -Infinity;
 
-  function countUsed(pool: string): number {
-    const ids = new Set(
-      upstreams.filter((upstream) => upstream.pool === pool).map(({ id }) =>
-        id
-      ),
-    );
+  /** Lists the upstreams of a pool that this entry may assign itself. */
+  function listOwn(
+    pool: string,
+    hasHub: boolean,
+  ): readonly work.UpstreamSpec[] {
+    const all = hasHub ? unknownToHub : upstreams;
+    return all.filter((upstream) => upstream.pool === pool);
+  }
+
+  function updateUnknownToHub(): void {
+    unknownToHub = upstreams.filter(({ id }) => !isKnownToHub(id));
+  }
+
+  function countUsed(own: readonly work.UpstreamSpec[]): number {
+    const ids = new Set(own.map(({ id }) => id));
     return [...running.values()]
       .filter(({ upstreamId }) => ids.has(upstreamId)).length;
   }
 
-  /** Computes the slots of a pool that this entry may use without a hub. */
-  function computeShare(pool: string): number {
-    const slots = upstreams.filter((upstream) => upstream.pool === pool)
-      .reduce((sum, upstream) => sum + upstream.slots, 0);
-    return Math.max(1, Math.floor(slots / Math.max(1, options.countEntries())));
+  /** Computes the slots that this entry may assign itself. */
+  function computeShare(
+    own: readonly work.UpstreamSpec[],
+    hasHub: boolean,
+  ): number {
+    const slots = own.reduce((sum, upstream) => sum + upstream.slots, 0);
+    const share = Math.floor(slots / Math.max(1, options.countEntries()));
+    // A hub that learns of the upstreams takes over what the entries use.
+    return hasHub ? share : Math.max(1, share);
   }
 
   /** Chooses the upstream with the fewest running requests of this entry. */
-  function chooseUpstream(request: SlotRequest): work.UpstreamSpec | undefined {
-    const candidates = upstreams.filter((upstream) =>
-      upstream.pool === request.pool &&
-      !request.avoided.includes(upstream.id) &&
-      !limits.isLimited(upstream.id)
+  function chooseUpstream(
+    request: SlotRequest,
+    own: readonly work.UpstreamSpec[],
+  ): work.UpstreamSpec | undefined {
+    const candidates = own.filter(({ id }) =>
+      !request.avoided.includes(id) && !limits.isLimited(id)
     );
     let best: work.UpstreamSpec | undefined;
     let bestLoad = Infinity;
@@ -156,9 +179,11 @@
   function grantFromShare(
     key: string,
     { request }: PendingRequest,
+    hasHub: boolean,
   ): WorkEvent | undefined {
-    if (countUsed(request.pool) >= computeShare(request.pool)) return undefined;
-    const upstream = chooseUpstream(request);
+    const own = listOwn(request.pool, hasHub);
+    if (countUsed(own) >= computeShare(own, hasHub)) return undefined;
+    const upstream = chooseUpstream(request, own);
     if (upstream === undefined) return undefined;
     pending.delete(key);
     const { workspace, promptTokens } = request;
@@ -175,9 +200,9 @@
     const nowMs = clock.now();
     const ageMs = nowMs - waiting.requestedAtMs;
     const hasHubTimedOut = nowMs - answeredAtMs >= hubTimeoutMs;
-    const isWithoutHub = hasHubTimedOut || !waiting.isReceivedByHub;
-    if (isWithoutHub && ageMs >= hubTimeoutMs) {
-      const event = grantFromShare(key, waiting);
+    const hasHub = !hasHubTimedOut && waiting.isReceivedByHub;
+    if (ageMs >= hubTimeoutMs) {
+      const event = grantFromShare(key, waiting, hasHub);
       if (event !== undefined) return event;
     }
     if (ageMs < Math.min(maxWaitMs, waiting.request.leftMs)) return undefined;
@@ -287,16 +312,24 @@
         if (!pending.delete(key)) continue;
         events.push({ kind: "granted", key, upstreamId, by: "hub" });
       }
+      if (decisions.denials.length > 0) updateUnknownToHub();
       for (const { key, retryAfterMs, cause } of decisions.denials) {
-        if (!pending.delete(key)) continue;
-        events.push({ kind: "denied", key, retryAfterMs, cause, by: "hub" });
+        const waiting = pending.get(key);
+        if (waiting === undefined) continue;
+        const granted = grantFromShare(key, waiting, true);
+        pending.delete(key);
+        events.push(
+          granted ?? { kind: "denied", key, retryAfterMs, cause, by: "hub" },
+        );
       }
       return events;
     },
-    tick: () =>
-      [...pending].flatMap(([key, waiting]) =>
+    tick() {
+      if (pending.size > 0) updateUnknownToHub();
+      return [...pending].flatMap(([key, waiting]) =>
         decideWithoutHub(key, waiting) ?? []
-      ),
+      );
+    },
     hasWaiting: () => pending.size > 0,
     hasHub: () => clock.now() - answeredAtMs < hubSilenceMs,
   };
--- a/packages/coordination/src/roster.ts
+++ b/packages/coordination/src/roster.ts
@@ -1,7 +1,7 @@
 /**
  * Liveness of the members of one system, which start with only a few seed
- * addresses. Of the members with the most capacity, the one with the earliest
- * start is the hub: the others report to it, and it sends the list of live
+ * addresses. Of the members of the highest tier with the most capacity, the one
+ * with the earliest start is the hub: the others report to it, and it sends the list of live
  * members to all of them. The number of
  * messages grows linearly with the number of members, not quadratically. No
  * consensus is needed: two hubs at a time only cost messages, and one of them
@@ -15,7 +15,7 @@
  * The hub also distributes its status (`news` in the messages), such as the age
  * of its view. A message may have been delayed anywhere, so it echoes the token
  * of the last hello from the receiver: the status was sampled after that hello
- * was sent.
+ * was sent. The others report theirs to the hub, which may know less than they do.
  */
 import murmurhash from "murmurhash";
 import type * as clock from "./clock.ts";
@@ -32,7 +32,7 @@
   readonly details: Details;
 }
 
-export type RosterMessage<Details, HubStatus = undefined> =
+export type RosterMessage<Details, Status = undefined> =
   /** A member reports its own info. */
   | {
     readonly kind: "hello";
@@ -41,6 +41,7 @@
     readonly hash: number;
     /** Echoed by the hub together with its status. */
     readonly token: number;
+    readonly news?: Status;
   }
   /** The members that are live in the view of the sender, without itself. */
   | {
@@ -50,7 +51,7 @@
     readonly members?: readonly RelayedMember<Details>[];
     /** Token of the receiver's last hello; undefined without a hello. */
     readonly echo?: number;
-    readonly news?: HubStatus;
+    readonly news?: Status;
   };
 
 /** A member as reported by another member. */
@@ -60,27 +61,32 @@
   readonly heardAgoMs: number;
 }
 
-export interface RosterSend<Details, HubStatus = undefined> {
+export interface RosterSend<Details, Status = undefined> {
   readonly to: string;
-  readonly message: RosterMessage<Details, HubStatus>;
+  readonly message: RosterMessage<Details, Status>;
 }
 
 /** Status of the hub, as received by a member. */
-export interface ReceivedHubStatus<HubStatus> {
-  readonly news: HubStatus;
+export interface ReceivedHubStatus<Status> {
+  readonly news: Status;
   /** Time on the local clock after which the hub sampled the status. */
   readonly sampledAfterMs: number;
 }
 
-export interface RosterOptions<Details, HubStatus = undefined> {
+export interface RosterOptions<Details, Status = undefined> {
   readonly clock: clock.Clock;
   readonly self: Omit<MemberInfo<Details>, "revision">;
   /**
    * Returns the capacity of a member for the work of the hub, which grows with
-   * the number of members; 0 for one that should not be the hub.
+   * the number of members; it decides within a tier.
    * @default () => 0
    */
   readonly getCapacity?: (details: Details) => number;
+  /**
+   * Returns the tier of a member; only one of the highest tier is the hub.
+   * @default () => 0
+   */
+  readonly getTier?: (details: Details) => number;
   /** Initial addresses; may contain the own address. */
   readonly seeds: readonly string[];
   /**
@@ -89,27 +95,35 @@
    * @default 800
    */
   readonly memberTimeoutMs?: number;
-  /** Returns the status that the hub sends to all members. */
-  readonly readHubStatus?: () => HubStatus;
+  /**
+   * Returns the status that the hub sends to all members, and that the other
+   * members send with each hello.
+   */
+  readonly readStatus?: () => Status;
   /** Called with each received status of the hub. */
-  readonly onHubStatus?: (received: ReceivedHubStatus<HubStatus>) => void;
+  readonly onHubStatus?: (received: ReceivedHubStatus<Status>) => void;
+  /** Called with each status that another member sent with a hello. */
+  readonly onMemberStatus?: (status: Status) => void;
 }
 
-export interface Roster<Details, HubStatus = undefined> {
+export interface Roster<Details, Status = undefined> {
   /** Returns the messages to send now; to be called every `tickMs`. */
-  tick(): readonly RosterSend<Details, HubStatus>[];
+  tick(): readonly RosterSend<Details, Status>[];
   handle(
-    message: RosterMessage<Details, HubStatus>,
-  ): readonly RosterSend<Details, HubStatus>[];
+    message: RosterMessage<Details, Status>,
+  ): readonly RosterSend<Details, Status>[];
   /** Changes the details of this member; returns the messages to send now. */
-  setDetails(details: Details): readonly RosterSend<Details, HubStatus>[];
+  setDetails(details: Details): readonly RosterSend<Details, Status>[];
   /** Adds addresses of possible members. */
   addSeeds(addresses: readonly string[]): void;
   /** Members that are live, including this member. */
   listLive(): readonly MemberInfo<Details>[];
   /** Members that were live within a time, including this member. */
   listRecent(withinMs: number): readonly MemberInfo<Details>[];
-  /** Of the live members with the most capacity, the one started first. */
+  /**
+   * Of the live members of the highest tier with the most capacity, the one
+   * started first.
+   */
   getHub(): MemberInfo<Details>;
   isHub(): boolean;
 }
@@ -154,12 +168,12 @@
 }
 
 /** Creates a roster that contains only the member itself. */
-export function createRoster<Details, HubStatus = undefined>(
-  options: RosterOptions<Details, HubStatus>,
-): Roster<Details, HubStatus> {
-  type Message = RosterMessage<Details, HubStatus>;
-  type Sends = readonly RosterSend<Details, HubStatus>[];
-  const { clock, getCapacity = () => 0 } = options;
+export function createRoster<Details, Status = undefined>(
+  options: RosterOptions<Details, Status>,
+): Roster<Details, Status> {
+  type Message = RosterMessage<Details, Status>;
+  type Sends = readonly RosterSend<Details, Status>[];
+  const { clock, getCapacity = () => 0, getTier = () => 0 } = options;
   const memberTimeoutMs = options.memberTimeoutMs ?? defaultMemberTimeoutMs;
   const otherMembers = new Map<string, OtherMember<Details>>();
   const seeds = new Set(options.seeds);
@@ -179,14 +193,15 @@
   }
 
   /**
-   * Compares members by capacity, the highest first, then by start time, the
-   * earliest first, then by id.
+   * Compares members by tier and capacity, the highest first, then by start time,
+   * the earliest first, then by id.
    */
   function compareSeniority(
     a: MemberInfo<Details>,
     b: MemberInfo<Details>,
   ): number {
-    return getCapacity(b.details) - getCapacity(a.details) ||
+    return getTier(b.details) - getTier(a.details) ||
+      getCapacity(b.details) - getCapacity(a.details) ||
       a.incarnation - b.incarnation || (a.id < b.id ? -1 : 1);
   }
 
@@ -244,7 +259,8 @@
     token += 1;
     helloSentAtMs.set(token, clock.now());
     helloSentAtMs.delete(token - maxRetainedTokens);
-    return { kind: "hello", from: self, hash: computeHash(), token };
+    const news = options.readStatus?.();
+    return { kind: "hello", from: self, hash: computeHash(), token, news };
   }
 
   function createRosterMessage(
@@ -256,7 +272,7 @@
       kind: "roster",
       from: self,
       echo: receiver?.token,
-      news: options.readHubStatus?.(),
+      news: options.readStatus?.(),
       members: hasSameMembers
         ? undefined
         : listLiveOthers().map(({ info, lastSeenAtMs }) => ({
@@ -308,11 +324,12 @@
   }
 
   function handleHello(
-    { from, hash, token: newToken }: Extract<
+    { from, hash, token: newToken, news }: Extract<
       Message,
       { readonly kind: "hello" }
     >,
   ): Sends {
+    if (news !== undefined) options.onMemberStatus?.(news);
     const previous = otherMembers.get(from.id)?.info;
     const isNewer = previous === undefined ||
       compareVersions(previous, from) < 0;
--- a/packages/coordination/src/roster_test.ts
+++ b/packages/coordination/src/roster_test.ts
@@ -28,6 +28,7 @@
   options: {
     readonly seeds?: readonly string[];
     readonly getCapacity?: (details: string) => number;
+    readonly getTier?: (details: string) => number;
   } = {},
 ): Cluster {
   const manualClock = clock.createManualClock();
@@ -41,6 +42,7 @@
         self: { id, address: id, incarnation: 100 + index, details: id },
         seeds: options.seeds ?? ["n3", "n4", "n5"],
         getCapacity: options.getCapacity,
+        getTier: options.getTier,
       }),
     };
   });
@@ -265,3 +267,35 @@
   cluster.run(3_000, { isDown });
   expect(listHubs(cluster, isDown)).toEqual(["n7"]);
 });
+
+test("a member of a lower tier is the hub only if there is no other", () => {
+  const getCapacity = (details: string) => details.startsWith("n2") ? 2 : 1;
+  const getTier = (details: string) => details.includes("outdated") ? 0 : 1;
+  const cluster = createCluster(4, { getCapacity, getTier });
+  cluster.run(3_000);
+  expect(listHubs(cluster)).toEqual(["n2"]);
+  cluster.nodes[2]!.roster.setDetails("n2 outdated");
+  cluster.run(1_000);
+  expect(listHubs(cluster)).toEqual(["n0"]);
+  for (const index of [0, 1, 3]) {
+    cluster.nodes[index]!.roster.setDetails(`n${index} outdated`);
+  }
+  cluster.run(1_000);
+  expect(listHubs(cluster)).toEqual(["n2"]);
+});
+
+test("the hub receives the status of each member with its hello", () => {
+  const manualClock = clock.createManualClock();
+  const received: string[] = [];
+  const [hub, member] = ["n0", "n1"].map((id, index) =>
+    roster.createRoster<string, string>({
+      clock: manualClock,
+      self: { id, address: id, incarnation: index, details: id },
+      seeds: ["n0"],
+      readStatus: () => `status of ${id}`,
+      onMemberStatus: (status) => void received.push(status),
+    })
+  );
+  for (const { message } of member!.tick()) hub!.handle(message);
+  expect(received).toContain("status of n1");
+});
