--- a/packages/anvilhinge/src/entry/routed_entry.ts
+++ b/packages/anvilhinge/src/entry/routed_entry.ts
@@ -3,6 +3,7 @@
  * the entry calls upstreams directly, without agents. Composes the components
  * and runs their life cycle.
  */
+import { setMaxListeners } from "node:events";
 import * as http from "node:http";
 import type * as random from "@anvilhinge/coordination/random";
 import * as abortSignal from "../adapters/abort_signal.ts";
@@ -136,6 +137,8 @@
 ): Promise<void> {
   const maxKeyAgeMs = maxKeyAgeShare * settings.bounds.revocationMs;
   const abort = new AbortController();
+  // Each timer and open call listens to the signal until it ends.
+  setMaxListeners(0, abort.signal);
   const clock = systemScheduler.createSystemScheduler();
   const elapsed = elapsedClock.createElapsedClock({
     clock,
