--- a/packages/anvilhinge/src/entry/callers/routed_answer.ts
+++ b/packages/anvilhinge/src/entry/callers/routed_answer.ts
@@ -2,6 +2,7 @@
 import type * as http from "node:http";
 import type * as clock from "@anvilhinge/coordination/clock";
 import type * as engine from "../../ports/engine.ts";
+import * as httpStatus from "../../ports/http_status.ts";
 import type * as runner from "../session/runner.ts";
 import type * as session from "../session/session.ts";
 import * as sessionCore from "../session/session_core.ts";
@@ -95,7 +96,9 @@
   readonly onGap: (pauseMs: number) => void;
 }
 
-const bodylessStatuses: readonly number[] = [204, 304];
+function isContentLength(name: string): boolean {
+  return name.toLowerCase() === "content-length";
+}
 
 /**
  * Creates the writer of one answer. Every answer has a length or chunks, so that
@@ -146,14 +149,11 @@
   }
 
   function hasContentLength(): boolean {
-    return head?.headers.some(([name]) =>
-      name.toLowerCase() === "content-length"
-    ) ?? false;
+    return head?.headers.some(([name]) => isContentLength(name)) ?? false;
   }
 
-  function isBodyless(): boolean {
-    return response.req.method === "HEAD" ||
-      bodylessStatuses.includes(head?.status ?? 0);
+  function isBodyless(status: number): boolean {
+    return response.req.method === "HEAD" || httpStatus.isBodyless(status);
   }
 
   /** Ends an answer that can be sent neither whole nor in chunks. */
@@ -174,7 +174,12 @@
     isCut: () => isOpen && reason !== undefined,
     getTimes: () => ({ firstAtMs, lastAtMs, longestPauseMs }),
     head(received) {
-      head = received;
+      // Another upstream may continue a stream with other bytes than the first,
+      // whose length then doesn't hold.
+      const headers = isWhole || isBodyless(received.status)
+        ? received.headers
+        : received.headers.filter(([name]) => !isContentLength(name));
+      head = { ...received, headers };
       response.statusCode = received.status;
     },
     data(data) {
@@ -192,9 +197,10 @@
     end() {
       if (!isOpen && reason !== undefined) return;
       const body = Buffer.concat(takeParts());
-      const extraHeaders = isOpen || hasContentLength() || isBodyless()
-        ? []
-        : ["Content-Length", String(body.byteLength)];
+      const extraHeaders =
+        isOpen || hasContentLength() || isBodyless(response.statusCode)
+          ? []
+          : ["Content-Length", String(body.byteLength)];
       open(extraHeaders);
       response.end(body.byteLength === 0 ? undefined : body);
     },
--- a/packages/anvilhinge/src/entry/callers/routed_answer_test.ts
+++ b/packages/anvilhinge/src/entry/callers/routed_answer_test.ts
@@ -73,6 +73,20 @@
   expect(text.endsWith("\r\n\r\nbody")).toBe(true);
 });
 
+// Guards against a stream that another upstream continues with more or fewer
+// bytes than the first one declared.
+test("a stream is sent in chunks whatever length its first upstream named", async () => {
+  const text = await writeAnswer((answer) => {
+    const headers = [["Content-Length", "9"], ["X-A", "1"]] as const;
+    answer.head({ status: 200, headers }, source);
+    answer.data(Buffer.from("id: 1\n\n"), 1);
+    answer.data(Buffer.from("id: 2\n\n"), 2);
+    answer.end();
+  }, { isWhole: false });
+  expect(text).not.toMatch(/content-length/i);
+  expect(text).toMatch(/id: 1\n\n.*id: 2\n\n.*\r\n0\r\n\r\n$/s);
+});
+
 describe("a stream without a length", () => {
   const event = Buffer.from("id: 1\n\n");
 
