--- a/packages/anvilhinge/src/adapters/direct_client.ts
+++ b/packages/anvilhinge/src/adapters/direct_client.ts
@@ -11,6 +11,7 @@
 import type * as runner from "../entry/session/runner.ts";
 import type * as engine from "../ports/engine.ts";
 import type * as frames from "../ports/frames.ts";
+import * as httpStatus from "../ports/http_status.ts";
 import type * as upstreamDialect from "../ports/upstream_dialect.ts";
 import * as address from "./address.ts";
 import * as connectionEnds from "./connection_end.ts";
@@ -40,7 +41,6 @@
 const emptyRunLimitBytes = 4 * headLimitBytes;
 /** Lowest status of a final answer; lower ones are interim. */
 const minFinalStatus = 200;
-const bodylessStatuses: readonly number[] = [204, 304];
 const unknownLoad: engine.EngineLoad = { running: 0, queued: 0, stepUs: 0 };
 
 /** Creates a client for upstreams without agents. */
@@ -91,7 +91,7 @@
 ): boolean {
   return headers["content-length"] === undefined &&
     headers["transfer-encoding"] === undefined &&
-    method !== "HEAD" && !bodylessStatuses.includes(statusCode);
+    method !== "HEAD" && !httpStatus.isBodyless(statusCode);
 }
 
 function runAttempt(attempt: frames.Attempt, call: Call): void {
@@ -159,6 +159,8 @@
     switch (interpretation.kind) {
       case "foreign":
         return failStream("The answer belongs to another request");
+      case "invalid":
+        return failStream(interpretation.message);
       case "refused": {
         // An upstream that is not the expected one names its own limit.
         if (interpretation.reason !== "wrong_group") observeRateLimit(head);
--- a/packages/anvilhinge/src/ports/upstream_dialect.ts
+++ b/packages/anvilhinge/src/ports/upstream_dialect.ts
@@ -19,7 +19,12 @@
     readonly retryAfterMs: number;
   }
   /** The answer belongs to another request. */
-  | { readonly kind: "foreign" };
+  | { readonly kind: "foreign" }
+  /**
+   * The head is not one that an upstream gives, so it proves nothing: the attempt
+   * may have run, and its answer is lost.
+   */
+  | { readonly kind: "invalid"; readonly message: string };
 
 export interface UpstreamDialect {
   /** Returns the headers that an attempt carries besides the caller's. */
