--- a/packages/anvilhinge/src/entry/session/attempt_state.ts
+++ b/packages/anvilhinge/src/entry/session/attempt_state.ts
@@ -135,21 +135,6 @@
   return { requestId: request.requestId, attemptId, incarnation, startByMs };
 }
 
-/** Lowest HTTP status that counts as a failure of the upstream. */
-const minFailureStatus = 500;
-const minSuccessStatus = 200;
-const minRedirectStatus = 300;
-
-/** Whether an answer with this status counts as a failure of the upstream. */
-export function isFailureStatus(status: number): boolean {
-  return status >= minFailureStatus;
-}
-
-/** Whether an answer with this status holds what the request asked for. */
-export function isSuccessStatus(status: number): boolean {
-  return status >= minSuccessStatus && status < minRedirectStatus;
-}
-
 /** Whether the kind of a frame is valid at its sequence number. */
 export function isValidPosition(frame: frames.Frame): boolean {
   switch (frame.body.kind) {
--- a/packages/anvilhinge/src/entry/session/event_assembler.ts
+++ b/packages/anvilhinge/src/entry/session/event_assembler.ts
@@ -18,6 +18,11 @@
   readonly resumeAfter?: string;
   /** Maximum number of buffered bytes of an incomplete event. */
   readonly limitBytes: number;
+  /**
+   * Whether another attempt has delivered events of this answer.
+   * @default false
+   */
+  readonly isContinuation?: boolean;
 }
 
 export interface EventAssembler {
@@ -27,17 +32,29 @@
   push(data: Uint8Array): PushOutcome;
   /** Whether bytes of an incomplete event remain. */
   hasIncompleteEvent(): boolean;
+  /**
+   * Whether another attempt has delivered events of this answer, and the current
+   * one has none.
+   */
+  isEmptyContinuation(): boolean;
   /** Id of the last event delivered in this answer or an earlier answer. */
   getLastId(): string | undefined;
 }
 
 const idLinePattern = /^id: ?(.*)$/gm;
 
-/** Lists the ids of complete events, in order. */
-function listIds(data: Uint8Array): readonly string[] {
-  const text = Buffer.from(data).toString("latin1");
-  return [...text.matchAll(idLinePattern)]
-    .map((match) => (match[1] as string).replace(/\r$/, ""));
+const eventSeparator = "\n\n";
+/** Line of an event other than a comment. */
+const fieldPattern = /^[^:\r\n]/m;
+
+/** Lists the ids of each complete event with any field, in order. */
+function listIds(data: Uint8Array): readonly (readonly string[])[] {
+  return Buffer.from(data).toString("latin1").split(eventSeparator)
+    .filter((event) => fieldPattern.test(event))
+    .map((event) =>
+      [...event.matchAll(idLinePattern)]
+        .map((match) => (match[1] as string).replace(/\r$/, ""))
+    );
 }
 
 /** Whether the id follows `lastId`; only integer ids can be checked. */
@@ -50,26 +67,50 @@
 
 /** Creates an assembler for one answer. */
 export function createEventAssembler(
-  { resumeAfter, limitBytes }: EventAssemblerOptions,
+  { resumeAfter, limitBytes, ...options }: EventAssemblerOptions,
 ): EventAssembler {
   let splitter = eventSplitter.createEventSplitter();
   let lastId = resumeAfter;
+  /** Whether the events start after one with a known id. */
+  let isContinued = resumeAfter !== undefined;
+  let isContinuation = options.isContinuation ?? false;
+  let hasEvents = false;
+
+  /**
+   * Whether an event without an id is none of this answer: ids that are numbers
+   * count all events, and only ids show where a continuation goes on.
+   */
+  function mustHaveId(previousId: string | undefined): boolean {
+    return previousId !== undefined &&
+      (isContinued || Number.isSafeInteger(Number(previousId)));
+  }
 
   function verify(data: Uint8Array): PushOutcome {
     let previousId = lastId;
-    for (const id of listIds(data)) {
-      if (!isNext(id, previousId)) {
-        const message = `Event ${id} came after event ${previousId}`;
+    const idsByEvent = listIds(data);
+    for (const ids of idsByEvent) {
+      if (ids.length === 0 && mustHaveId(previousId)) {
+        const message = `An event without an id came after ${previousId}`;
         return { kind: "misplaced", message };
       }
-      previousId = id;
+      for (const id of ids) {
+        if (!isNext(id, previousId)) {
+          const message = `Event ${id} came after event ${previousId}`;
+          return { kind: "misplaced", message };
+        }
+        previousId = id;
+      }
     }
     lastId = previousId;
+    hasEvents ||= idsByEvent.length > 0;
     return { kind: "events", data };
   }
 
   return {
     restart() {
+      isContinued = lastId !== undefined;
+      isContinuation ||= hasEvents;
+      hasEvents = false;
       splitter = eventSplitter.createEventSplitter();
     },
     push(data) {
@@ -82,6 +123,7 @@
       return { kind: "oversized", message };
     },
     hasIncompleteEvent: () => splitter.flush() !== undefined,
+    isEmptyContinuation: () => isContinuation && !hasEvents,
     getLastId: () => lastId,
   };
 }
--- a/packages/anvilhinge/src/entry/session/session_core.ts
+++ b/packages/anvilhinge/src/entry/session/session_core.ts
@@ -4,6 +4,7 @@
  */
 import type * as engine from "../../ports/engine.ts";
 import type * as frames from "../../ports/frames.ts";
+import * as httpStatus from "../../ports/http_status.ts";
 import * as answerBuffer from "./answer_buffer.ts";
 import * as attemptState from "./attempt_state.ts";
 import * as eventAssembler from "./event_assembler.ts";
@@ -333,6 +334,7 @@
         : eventAssembler.createEventAssembler({
           resumeAfter: assembler.getLastId(),
           limitBytes: maxBufferedBytes,
+          isContinuation: buffer.hasDelivered(),
         }),
     };
   }
@@ -398,15 +400,15 @@
   }
 
   function isFailedAnswer(state: attemptState.AttemptState): boolean {
-    return attemptState.isFailureStatus(state.status) ||
-      (isContinuation(state) && !attemptState.isSuccessStatus(state.status));
+    return httpStatus.isFailure(state.status) ||
+      (isContinuation(state) && !httpStatus.isSuccess(state.status));
   }
 
   function isRetryPermitted(): boolean {
     // A stream of events continues after the last delivered event, so another
     // attempt delivers no event twice.
     const canContinue = !shared.isEventlessDelivered &&
-      (assembler !== undefined || !buffer.hasDelivered());
+      (assembler?.getLastId() !== undefined || !buffer.hasDelivered());
     return canContinue && shared.attempts < maxAttempts;
   }
 
--- a/packages/anvilhinge/src/entry/session/session_direct_test.ts
+++ b/packages/anvilhinge/src/entry/session/session_direct_test.ts
@@ -195,6 +195,67 @@
   }
 });
 
+describe("a stream that broke after an event", () => {
+  function continueWith(...texts: readonly string[]) {
+    const driver = createDriver(stream, { maxAttempts: 2 });
+    driver.feedFrame(1, 0, { body: createHead(200) });
+    driver.feedFrame(1, 1, { body: sessionDriver.createChunk(createEvent(1)) });
+    driver.feed(lost);
+    driver.feedFrame(2, 0, { body: createHead(200) });
+    for (const [index, text] of texts.entries()) {
+      const body = sessionDriver.createChunk(text);
+      driver.feedFrame(2, 1 + index, { body });
+    }
+    const body = sessionDriver.createEnd(texts.length + 2);
+    driver.feedFrame(2, texts.length + 1, { body });
+    return driver;
+  }
+
+  // Guards against an end that no upstream has shown, and against text that is
+  // no event of the stream.
+  it.each([
+    ["no event", []],
+    ["only a comment", [": ping\n\n"]],
+    ["an event without an id", ["data: an error\n\n"]],
+    ["a later event without an id", [createEvent(2), "data: b\n\n"]],
+  ])("is not completed by %s", (_, texts) => {
+    const driver = continueWith(...texts);
+    expect(driver.listEffects("end")).toEqual([]);
+    expect(listAnswers(driver)).toEqual(["failed"]);
+    expect(driver.getText()).not.toContain("data: an error");
+  });
+
+  it("is completed by the next event", () => {
+    const driver = continueWith(": ping\n\n", createEvent(2));
+    expect(driver.listEffects("end")).toHaveLength(1);
+    expect(driver.getText()).toContain(createEvent(2));
+  });
+
+  it("is not continued if its events have no ids", () => {
+    const driver = createDriver(stream);
+    driver.feedFrame(1, 0, { body: createHead(200) });
+    const body = sessionDriver.createChunk("data: a\n\n");
+    driver.feedFrame(1, 1, { body });
+    driver.feed(lost);
+    expect(driver.listEffects("dispatch")).toHaveLength(1);
+    expect(listAnswers(driver)).toEqual(["failed"]);
+  });
+});
+
+test.each([
+  ["text/plain", 2],
+  ["application/json; charset=utf-8", 2],
+  ["text/event-stream", 1],
+  ["Text/Event-Stream; charset=utf-8", 1],
+])("a stream that is declared as %s takes %d attempts", (type, attempts) => {
+  const driver = createDriver(stream);
+  const head = { status: 200, headers: [["content-type", type]] } as const;
+  driver.feedFrame(1, 0, {
+    body: { kind: "accepted", incarnation: "", head },
+  });
+  expect(driver.listEffects("dispatch")).toHaveLength(attempts);
+});
+
 test("a stream that ends inside an event is answered as failed", () => {
   const driver = createDriver(stream, { maxAttempts: 1 });
   driver.feedFrame(1, 0, { body: createHead(200) });
--- a/packages/anvilhinge/src/entry/session/session_frames.ts
+++ b/packages/anvilhinge/src/entry/session/session_frames.ts
@@ -1,5 +1,8 @@
 /** Session handlers for events that follow the dispatch of an attempt. */
+import type * as engine from "../../ports/engine.ts";
 import type * as frames from "../../ports/frames.ts";
+import * as httpStatus from "../../ports/http_status.ts";
+import * as answerRules from "./answer_rules.ts";
 import * as attemptState from "./attempt_state.ts";
 import type * as sessionCore from "./session_core.ts";
 import type * as sessionReplacement from "./session_replacement.ts";
@@ -166,18 +169,10 @@
     state: attemptState.AttemptState,
     { body, sequence }: frames.Frame,
   ): Effects {
-    const { upstream, attemptId } = state;
+    const { upstream } = state;
     switch (body.kind) {
       case "accepted":
-        state.isStarted = true;
-        state.status = body.head.status;
-        recorder.setHead(body.head);
-        // A stream that continues at another upstream keeps the head that was
-        // already delivered.
-        if (!buffer.hasDelivered()) {
-          buffer.add({ kind: "head", head: body.head, upstream, attemptId });
-        }
-        return [...replacements.replaceFailing(), resetStallTimer()];
+        return applyHead(state, body.head);
       case "chunk":
         recorder.addData(body.data);
         return [...applyData(state, body.data, sequence), resetStallTimer()];
@@ -202,6 +197,24 @@
     }
   }
 
+  function applyHead(
+    state: attemptState.AttemptState,
+    head: engine.AnswerHead,
+  ): Effects {
+    const { upstream, attemptId } = state;
+    state.isStarted = true;
+    state.status = head.status;
+    const problem = answerRules.findHeadProblem(head, request.delivery);
+    if (problem !== undefined) return handleBroken(state, problem, "invalid");
+    recorder.setHead(head);
+    // A stream that continues at another upstream keeps the head that was
+    // already delivered.
+    if (!buffer.hasDelivered()) {
+      buffer.add({ kind: "head", head, upstream, attemptId });
+    }
+    return [...replacements.replaceFailing(), resetStallTimer()];
+  }
+
   function applyData(
     state: attemptState.AttemptState,
     data: Uint8Array,
@@ -212,7 +225,7 @@
     }
     if (
       eventAssembler === undefined ||
-      !attemptState.isSuccessStatus(state.status)
+      !httpStatus.isSuccess(state.status)
     ) {
       // Buffers an answer without events, so that another attempt can replace it.
       const isBuffered = eventAssembler !== undefined;
@@ -317,9 +330,8 @@
       if (core.isFailedAnswer(state)) {
         return handleFailureStatus(state, body);
       }
-      if (eventAssembler?.hasIncompleteEvent()) {
-        return handleBroken(state, "The answer ended inside an event");
-      }
+      const problem = answerRules.findEndProblem(eventAssembler);
+      if (problem !== undefined) return handleBroken(state, problem);
     }
     return complete(state, observe(state, "completed", body));
   }
--- a/packages/anvilhinge/src/entry/session/session_replacement.ts
+++ b/packages/anvilhinge/src/entry/session/session_replacement.ts
@@ -3,7 +3,10 @@
  * until its replacement has data to deliver, because a slot may be refused, and
  * the other upstream may refuse the attempt, fail or stall as well.
  */
+import type * as engine from "../../ports/engine.ts";
 import type * as frames from "../../ports/frames.ts";
+import * as httpStatus from "../../ports/http_status.ts";
+import * as answerRules from "./answer_rules.ts";
 import * as attemptState from "./attempt_state.ts";
 import type * as sessionCore from "./session_core.ts";
 import type * as types from "./session_types.ts";
@@ -45,7 +48,7 @@
 export function createReplacementHandlers(
   core: sessionCore.SessionCore,
 ): ReplacementHandlers {
-  const { options, shared, buffer, observe, resetStallTimer, cancel } = core;
+  const { options, shared, observe, resetStallTimer, cancel } = core;
 
   function requestReplacement(): Effects {
     const isPreparing = shared.replacement?.state.phase === "preparing";
@@ -153,7 +156,7 @@
       replacement.frames.length * frameOverheadBytes;
     const verdict = usedBytes > core.maxBufferedBytes ? "oversized" : "pending";
     if (
-      assembler === undefined || !attemptState.isSuccessStatus(state.status)
+      assembler === undefined || !httpStatus.isSuccess(state.status)
     ) {
       return replacement.frameBytes > core.maxBufferedBytes
         ? "deliverable"
@@ -166,12 +169,19 @@
 
   /** Checks an answer that ended before it had data to deliver. */
   function checkEnd({ assembler }: sessionCore.Replacement): Verdict {
-    if (assembler === undefined) return "deliverable";
-    // After events were delivered, an end without any more events does not show
-    // that the stream is complete.
-    return buffer.hasDelivered() || assembler.hasIncompleteEvent()
+    return answerRules.findEndProblem(assembler) === undefined
+      ? "deliverable"
+      : "useless";
+  }
+
+  function checkHead(
+    { state }: sessionCore.Replacement,
+    head: engine.AnswerHead,
+  ): Verdict {
+    const problem = answerRules.findHeadProblem(head, core.request.delivery);
+    return core.isFailedAnswer(state) || problem !== undefined
       ? "useless"
-      : "deliverable";
+      : "pending";
   }
 
   function applyVerdict(verdict: Verdict): Effects {
@@ -197,9 +207,7 @@
       case "accepted":
         state.isStarted = true;
         state.status = body.head.status;
-        return applyVerdict(
-          core.isFailedAnswer(state) ? "useless" : "pending",
-        );
+        return applyVerdict(checkHead(replacement, body.head));
       case "chunk":
         return applyVerdict(checkData(replacement, body.data));
       case "end":
--- a/packages/anvilhinge/src/entry/session/session_types.ts
+++ b/packages/anvilhinge/src/entry/session/session_types.ts
@@ -183,13 +183,15 @@
 
 /**
  * Why the session ended an attempt before its answer was whole. `broken`: the
- * connection to the upstream or agent ended. `misplaced`: a part of the answer
+ * connection to the upstream or agent ended, or the answer was short. `invalid`:
+ * it can't be the answer to the request. `misplaced`: a part of the answer
  * was missing or repeated. `oversized`: an event exceeded the buffer's limit, so
  * it may never end. `stalled`: another attempt replaced it. `redundant`: the
  * attempt that it was to replace delivered data or completed.
  */
 export type AttemptEndCause =
   | "broken"
+  | "invalid"
   | "misplaced"
   | "oversized"
   | "stalled"
