--- a/packages/anvilhinge/src/entry/session/event_assembler.ts
+++ b/packages/anvilhinge/src/entry/session/event_assembler.ts
@@ -80,7 +80,7 @@
    * Whether an event without an id is none of this answer: ids that are numbers
    * count all events, and only ids show where a continuation goes on.
    */
-  function mustHaveId(previousId: string | undefined): boolean {
+  function isIdRequired(previousId: string | undefined): boolean {
     return previousId !== undefined &&
       (isContinued || Number.isSafeInteger(Number(previousId)));
   }
@@ -89,7 +89,7 @@
     let previousId = lastId;
     const idsByEvent = listIds(data);
     for (const ids of idsByEvent) {
-      if (ids.length === 0 && mustHaveId(previousId)) {
+      if (ids.length === 0 && isIdRequired(previousId)) {
         const message = `An event without an id came after ${previousId}`;
         return { kind: "misplaced", message };
       }
