--- a/packages/anvilhinge/src/entry/choice/outdated_hub_test.ts
+++ b/packages/anvilhinge/src/entry/choice/outdated_hub_test.ts
@@ -285,6 +285,7 @@
         getHub: roster.getHub,
         isHub: roster.isHub,
         countEntries: () => roster.listLive().length,
+        getEntryIndex: roster.getEntryIndex,
         computeReachableShare: roster.computeReachableShare,
       },
       retries: { share: 0.2, extra: 20, windowMs: 10_000 },
--- a/packages/anvilhinge/src/entry/choice/routed_policy_test.ts
+++ b/packages/anvilhinge/src/entry/choice/routed_policy_test.ts
@@ -92,6 +92,7 @@
       getHub: () => ({ id: "e1", address: "10.0.0.9:1" }),
       isHub: () => isHub,
       countEntries: () => isHub ? 1 : 2,
+      getEntryIndex: () => 0,
       computeReachableShare: () => 1,
     },
     retries: { share: 0.2, extra: 20, windowMs: 10_000 },
--- a/packages/anvilhinge/src/entry/choice/slot_coordinator.ts
+++ b/packages/anvilhinge/src/entry/choice/slot_coordinator.ts
@@ -20,6 +20,8 @@
   getHub(): { readonly id: string; readonly address: string };
   isHub(): boolean;
   countEntries(): number;
+  /** Position of this entry among them, in an order that all share. */
+  getEntryIndex(): number;
   /** Share of the entries that this entry can reach, from 0 to 1. */
   computeReachableShare(): number;
 }
@@ -93,6 +95,7 @@
     entryId: options.entryId,
     failureDomain: options.failureDomain,
     countEntries: members.countEntries,
+    getEntryIndex: members.getEntryIndex,
     rateLimits: options.rateLimits,
   });
   const hub = workHub.createWorkHub({
--- a/packages/anvilhinge/src/entry/control/roster_node.ts
+++ b/packages/anvilhinge/src/entry/control/roster_node.ts
@@ -66,6 +66,8 @@
   /** Adds addresses of entries that were added to the settings. */
   addSeeds(addresses: readonly string[]): void;
   listLive(): readonly EntryMember[];
+  /** Number of live entries whose id is lower than that of this entry. */
+  getEntryIndex(): number;
   /**
    * Share of the entries that this entry can reach, of those that were live
    * lately and did not announce that they leave.
@@ -157,6 +159,8 @@
     },
     addSeeds: machine.addSeeds,
     listLive: machine.listLive,
+    getEntryIndex: () =>
+      machine.listLive().filter(({ id }) => id < options.self.id).length,
     computeReachableShare() {
       const liveIds = new Set(machine.listLive().map(({ id }) => id));
       const expected = machine.listRecent(unreachableTtlMs)
--- a/packages/anvilhinge/src/entry/routed_entry.ts
+++ b/packages/anvilhinge/src/entry/routed_entry.ts
@@ -215,6 +215,7 @@
       getHub: roster.getHub,
       isHub: roster.isHub,
       countEntries: () => roster.listLive().length,
+      getEntryIndex: roster.getEntryIndex,
       computeReachableShare: roster.computeReachableShare,
     },
     retries: {
--- a/packages/coordination/src/dispatch/work_client.ts
+++ b/packages/coordination/src/dispatch/work_client.ts
@@ -3,9 +3,9 @@
  * occupy one, reports them to the hub and applies its decisions. While no hub
  * answers, the entry decides itself and uses an equal share of the slots, so
  * that all entries together do not exceed the number of slots. Upstreams with a
- * rate limit are then left out: no share of a low limit is a whole request. The
- * same holds for upstreams that a hub with an older view does not know, and so
- * can't assign.
+ * rate limit are then left out: no share of a low limit is a whole request. It
+ * also decides on the upstreams that a hub with an older view does not know, and
+ * so can't assign: each of their slots belongs to one entry.
  */
 import type * as clock from "../clock.ts";
 import type * as random from "../random.ts";
@@ -26,6 +26,11 @@
   readonly isKnownToHub?: (upstreamId: string) => boolean;
   /** Returns the number of entries that share the slots, including this one. */
   readonly countEntries: () => number;
+  /**
+   * Returns the position of this entry in an order that all entries share, from 0.
+   * @default () => 0
+   */
+  readonly getEntryIndex?: () => number;
   /**
    * Time without an answer after which the entry decides without the hub, in
    * milliseconds. It covers three round trips and the interval until the state
@@ -106,6 +111,7 @@
 /** Creates the client of one entry. */
 export function createWorkClient(options: WorkClientOptions): WorkClient {
   const { clock, isKnownToHub = () => true } = options;
+  const getEntryIndex = options.getEntryIndex ?? (() => 0);
   const hubTimeoutMs = options.hubTimeoutMs ?? defaultHubTimeoutMs;
   const maxWaitMs = options.maxWaitMs ?? defaultMaxWaitMs;
   const pending = new Map<string, PendingRequest>();
@@ -125,34 +131,57 @@
   let sequence = 0;
   let answeredAtMs = -Infinity;
 
-  /** Lists the upstreams of a pool that this entry may assign itself. */
-  function listOwn(
-    pool: string,
-    hasHub: boolean,
-  ): readonly work.UpstreamSpec[] {
-    const all = hasHub ? unknownToHub : upstreams;
-    return all.filter((upstream) => upstream.pool === pool);
-  }
-
   function updateUnknownToHub(): void {
     unknownToHub = upstreams.filter(({ id }) => !isKnownToHub(id));
   }
 
-  function countUsed(own: readonly work.UpstreamSpec[]): number {
-    const ids = new Set(own.map(({ id }) => id));
+  function countRunning(upstreamId: string): number {
     return [...running.values()]
-      .filter(({ upstreamId }) => ids.has(upstreamId)).length;
+      .filter((request) => request.upstreamId === upstreamId).length;
   }
 
-  /** Computes the slots that this entry may assign itself. */
-  function computeShare(
-    own: readonly work.UpstreamSpec[],
-    hasHub: boolean,
-  ): number {
-    const slots = own.reduce((sum, upstream) => sum + upstream.slots, 0);
+  /**
+   * Lists the upstreams of which an own slot is free: of all slots of these
+   * upstreams in order, each n-th belongs to one of n entries.
+   */
+  function listWithOwnSlot(
+    shared: readonly work.UpstreamSpec[],
+  ): readonly work.UpstreamSpec[] {
+    const entryCount = Math.max(1, options.countEntries());
+    const entryIndex = getEntryIndex();
+    let firstSlot = 0;
+    return shared.toSorted((a, b) => a.id < b.id ? -1 : 1)
+      .filter(({ id, slots }) => {
+        const offset = (entryIndex - firstSlot % entryCount + entryCount) %
+          entryCount;
+        firstSlot += slots;
+        return countRunning(id) < Math.ceil((slots - offset) / entryCount);
+      });
+  }
+
+  /** Whether this entry has not used its share of the slots, at least one. */
+  function hasShareLeft(shared: readonly work.UpstreamSpec[]): boolean {
+    const slots = shared.reduce((sum, upstream) => sum + upstream.slots, 0);
     const share = Math.floor(slots / Math.max(1, options.countEntries()));
-    // A hub that learns of the upstreams takes over what the entries use.
-    return hasHub ? share : Math.max(1, share);
+    const used = shared.reduce((sum, { id }) => sum + countRunning(id), 0);
+    return used < Math.max(1, share);
+  }
+
+  /**
+   * Chooses an upstream without a hub: with an own slot if possible, else any, as
+   * an entry may own no slot that the request can use.
+   */
+  function chooseShared(request: SlotRequest): work.UpstreamSpec | undefined {
+    const shared = upstreams.filter(({ pool }) => pool === request.pool);
+    if (!hasShareLeft(shared)) return undefined;
+    return chooseUpstream(request, listWithOwnSlot(shared)) ??
+      chooseUpstream(request, shared);
+  }
+
+  /** Chooses an upstream that the hub can't assign. */
+  function chooseUnknown(request: SlotRequest): work.UpstreamSpec | undefined {
+    const shared = unknownToHub.filter(({ pool }) => pool === request.pool);
+    return chooseUpstream(request, listWithOwnSlot(shared));
   }
 
   /** Chooses the upstream with the fewest running requests of this entry. */
@@ -166,9 +195,7 @@
     let best: work.UpstreamSpec | undefined;
     let bestLoad = Infinity;
     for (const upstream of candidates) {
-      const ownLoad = [...running.values()]
-        .filter(({ upstreamId }) => upstreamId === upstream.id).length;
-      const load = ownLoad + options.random();
+      const load = countRunning(upstream.id) + options.random();
       if (load >= bestLoad) continue;
       best = upstream;
       bestLoad = load;
@@ -181,9 +208,7 @@
     { request }: PendingRequest,
     hasHub: boolean,
   ): WorkEvent | undefined {
-    const own = listOwn(request.pool, hasHub);
-    if (countUsed(own) >= computeShare(own, hasHub)) return undefined;
-    const upstream = chooseUpstream(request, own);
+    const upstream = hasHub ? chooseUnknown(request) : chooseShared(request);
     if (upstream === undefined) return undefined;
     pending.delete(key);
     const { workspace, promptTokens } = request;
