--- a/packages/anvilhinge/src/agent/ranks/order_runner.ts
+++ b/packages/anvilhinge/src/agent/ranks/order_runner.ts
@@ -54,7 +54,9 @@
     }
 
     async function read(): Promise<void> {
-      const report = await engine.readReport();
+      // What a rank has prepared, an earlier report can't show.
+      const isDecisive = order.kind !== "prepare";
+      const report = await engine.readReport({ isDecisive });
       execute(settler.handle(
         report === undefined
           ? { kind: "silent" }
--- a/packages/anvilhinge/src/agent/ranks/rank_rpc.ts
+++ b/packages/anvilhinge/src/agent/ranks/rank_rpc.ts
@@ -147,14 +147,14 @@
 ): Promise<RankAnswer> {
   switch (call.kind) {
     case "report": {
-      const report = await engine.readReport();
+      const report = await engine.readReport({ isDecisive: true });
       return report === undefined
         ? { kind: "silent" }
         : { kind: "report", report };
     }
     case "experts": {
       const [report, experts] = await Promise.all([
-        engine.readReport(),
+        engine.readReport({ isDecisive: true }),
         engine.readExperts(),
       ]);
       return report === undefined || experts === undefined
--- a/packages/anvilhinge/src/agent/ranks/remote_engine.ts
+++ b/packages/anvilhinge/src/agent/ranks/remote_engine.ts
@@ -22,9 +22,9 @@
     delay.waitFor(scheduler, { delayMs: reportLagMs });
 
   return {
-    async readReport() {
+    async readReport(readOptions) {
       await waitForLag();
-      return await engine.readReport();
+      return await engine.readReport(readOptions);
     },
     async readCounts() {
       await waitForLag();
--- a/packages/anvilhinge/src/ports/rank_engine.ts
+++ b/packages/anvilhinge/src/ports/rank_engine.ts
@@ -32,9 +32,21 @@
   readonly experts: readonly (readonly number[])[];
 }
 
-/** Engine of one rank; a read without an answer resolves to undefined. */
+export interface ReadOptions {
+  /**
+   * Whether an engine that sends an earlier answer once more must not have it
+   * taken for this one. It may cost a connection.
+   * @default false
+   */
+  readonly isDecisive?: boolean;
+}
+
+/**
+ * Engine of one rank; a read without an answer resolves to undefined. The reply to
+ * an order is never that to an earlier one.
+ */
 export interface RankEngine {
-  readReport(): Promise<RankReport | undefined>;
+  readReport(options?: ReadOptions): Promise<RankReport | undefined>;
   readCounts(): Promise<ExpertCounts | undefined>;
   readExperts(): Promise<HeldExperts | undefined>;
   sendOrder(
