--- a/packages/anvilhinge/src/entry/routing/routing_view.ts
+++ b/packages/anvilhinge/src/entry/routing/routing_view.ts
@@ -85,10 +85,7 @@
    * deliver the changes to this entry.
    */
   isOutdated(): boolean;
-  /**
-   * Whether the hub's view contains the latest record of an upstream; true if
-   * that is unknown.
-   */
+  /** Whether the hub's view contains an upstream; true unless it can't. */
   isKnownToHub(upstreamId: string): boolean;
 }
 
@@ -113,8 +110,8 @@
   const departed = departures.createDepartures({ clock: options.elapsed });
   /** Copied records of upstreams that have left, by key. */
   const held = new Map<string, objectStore.StoredObject>();
-  /** Store versions of the records of listed upstreams, by upstream id. */
-  const recordVersions = new Map<string, number>();
+  /** Positions at which the listed upstreams were first seen, by id. */
+  const firstSeen = new Map<string, objectStore.StorePosition>();
   /** Position of the hub's upstreams; undefined before its first status. */
   let hubUpstreams: objectStore.StorePosition | undefined;
   let upstreamsEra: number | undefined;
@@ -207,7 +204,10 @@
     expired.delete(object.key);
     const previous = upstreams.get(object.key);
     upstreams.set(object.key, upstream);
-    recordVersions.set(upstream.id, object.version);
+    if (previous?.startedAtMs !== upstream.startedAtMs) {
+      const { version } = object;
+      firstSeen.set(upstream.id, { era: upstreamsEra ?? 0, version });
+    }
     const hasChanged = JSON.stringify(previous) !== JSON.stringify(upstream);
     if (hasChanged) {
       logger.info("Upstream added or changed", {
@@ -227,7 +227,7 @@
     const upstream = upstreams.get(key);
     if (upstream === undefined) return false;
     upstreams.delete(key);
-    recordVersions.delete(upstream.id);
+    firstSeen.delete(upstream.id);
     if (reason !== "malformed") departed.record(key, upstream.startedAtMs);
     logger.info("Removed an upstream", { upstream: upstream.id, reason });
     return true;
@@ -366,9 +366,10 @@
     isOutdated: () =>
       followedRouting.isOutdated() || followedUpstreams.isOutdated(),
     isKnownToHub(upstreamId) {
-      if (options.isHub() || hubUpstreams?.era !== upstreamsEra) return true;
-      const version = recordVersions.get(upstreamId) ?? 0;
-      return version <= (hubUpstreams?.version ?? Infinity);
+      const seen = firstSeen.get(upstreamId);
+      // Versions of different eras don't show which view is newer.
+      return options.isHub() || seen === undefined ||
+        seen.era !== hubUpstreams?.era || seen.version <= hubUpstreams.version;
     },
   };
 }
