--- a/packages/anvilhinge/src/entry/choice/routed_policy.ts
+++ b/packages/anvilhinge/src/entry/choice/routed_policy.ts
@@ -125,6 +125,11 @@
   readonly elapsed: clockPort.Clock;
   /** See `WorkClientOptions`. */
   readonly isKnownToHub?: (upstreamId: string) => boolean;
+  /**
+   * Whether the hub's view of the upstreams contains what this entry lacks.
+   * @default () => false
+   */
+  readonly isHubNewer?: () => boolean;
   readonly random: random.RandomSource;
   readonly logger: logger.Logger;
   readonly metrics: Pick<
@@ -150,6 +155,7 @@
 }
 
 interface PendingSlotRequest {
+  readonly service: string;
   readonly resolve: (
     event: Parameters<DecisionHandler>[0],
     by: workClient.WorkEvent["by"],
@@ -176,7 +182,7 @@
 export function createRoutedPolicy(
   options: RoutedPolicyOptions,
 ): RoutedPolicy {
-  const { scheduler: clock, retries } = options;
+  const { scheduler: clock, retries, isHubNewer = () => false } = options;
   const tracked = new Map<string, TrackedUpstream>();
   /** Number of open attempts by upstream id, also of unlisted upstreams. */
   const openCounts = new Map<string, number>();
@@ -247,16 +253,34 @@
         event.by,
       );
     }
-    // The hub's view of the upstreams may be older than that of this entry.
-    const granted = tracked.get(event.upstreamId);
-    if (granted?.listed.state !== "serving") {
+    const upstream = findGranted(event, request.service);
+    if (upstream === undefined) {
       slots.drop(event.key);
       return request.requestAgain(event.upstreamId);
     }
-    const { upstream } = granted;
     request.resolve({ kind: "granted", upstream }, event.by);
   }
 
+  /**
+   * Finds the upstream of a grant. The hub's view of the upstreams may be older
+   * than that of this entry, or newer; undefined if the upstream can't be used.
+   */
+  function findGranted(
+    { upstreamId, address }: Extract<
+      workClient.WorkEvent,
+      { readonly kind: "granted" }
+    >,
+    service: string,
+  ): session.Upstream | undefined {
+    const known = tracked.get(upstreamId);
+    if (known !== undefined) {
+      return known.listed.state === "serving" ? known.upstream : undefined;
+    }
+    return address !== undefined && isHubNewer()
+      ? createUpstream({ id: upstreamId, service, address })
+      : undefined;
+  }
+
   function countOpen(upstreamId: string): number {
     return openCounts.get(upstreamId) ?? 0;
   }
@@ -404,7 +428,11 @@
       attemptedIds: ReadonlySet<string>,
     ): Exclude<session.UpstreamChoice, { kind: "chosen" }> {
       const usable = listUsable(request.service);
-      if (usable.every(({ listed }) => attemptedIds.has(listed.id))) {
+      const mayHubKnowOthers = isHubNewer() && slots.hasHub();
+      if (
+        !mayHubKnowOthers &&
+        usable.every(({ listed }) => attemptedIds.has(listed.id))
+      ) {
         const reason = `No upstream of service ${request.service} is left`;
         return { kind: "none", reason, retryAfterMs: noUpstreamRetryMs };
       }
@@ -415,6 +443,7 @@
         .filter((id) => !upstreamHealth.isAvailable(id));
       const nowMs = clock.now();
       pending.set(key, {
+        service: request.service,
         resolve(event, by) {
           decidedBy = by;
           waitedMs += clock.now() - nowMs;
@@ -537,15 +566,7 @@
       for (const listed of upstreams) {
         const { id, service, address } = listed;
         pools.set(service, [...(pools.get(service) ?? []), id]);
-        // Routed upstreams have no rank, half or epoch.
-        const upstream = {
-          id,
-          group: service,
-          rank: 0,
-          address,
-          half: "",
-          epoch: 0,
-        };
+        const upstream = createUpstream({ id, service, address });
         tracked.set(id, { listed, upstream });
       }
       for (const [service, members] of pools) {
@@ -563,6 +584,16 @@
   };
 }
 
+/** Routed upstreams have no rank, half or epoch. */
+function createUpstream(
+  { id, service, address }: Pick<
+    routing.ListedUpstream,
+    "id" | "service" | "address"
+  >,
+): session.Upstream {
+  return { id, group: service, rank: 0, address, half: "", epoch: 0 };
+}
+
 /**
  * Excludes upstreams whose address belongs to a more recently started upstream:
  * the records of crashed upstreams stay in the list until they expire.
--- a/packages/anvilhinge/src/entry/routed_entry.ts
+++ b/packages/anvilhinge/src/entry/routed_entry.ts
@@ -226,6 +226,7 @@
     scheduler: clock,
     elapsed,
     isKnownToHub: (upstreamId) => view.isKnownToHub(upstreamId),
+    isHubNewer: () => view.isHubNewer(),
     random: options.random,
     logger: log,
     metrics: entryMetrics,
--- a/packages/anvilhinge/src/entry/routing/followed_prefix.ts
+++ b/packages/anvilhinge/src/entry/routing/followed_prefix.ts
@@ -56,6 +56,8 @@
   readStatus(): PrefixStatus;
   /** Applies a status that the hub sampled after this time of `elapsed`. */
   applyHubStatus(status: PrefixStatus, sampledAfterMs: number): void;
+  /** Whether this view certainly lacks what the position covers. */
+  isBehind(position: objectStore.StorePosition): boolean;
   /** Applies the position of another entry's view. */
   observePosition(position: objectStore.StorePosition): void;
   /**
@@ -142,7 +144,6 @@
     return isUnavailable ? unavailableConfirmIntervalMs : confirmIntervalMs;
   }
 
-  /** Whether this view certainly lacks what the position covers. */
   function isBehind(position: objectStore.StorePosition): boolean {
     return position.era === era
       ? position.version > coveredVersion
@@ -260,6 +261,7 @@
       if (hubEra < era || ageMs === undefined || !isStoreCurrent()) return;
       confirmedAtMs = Math.max(confirmedAtMs, sampledAfterMs - ageMs);
     },
+    isBehind,
     observePosition,
     isOutdated() {
       updateBehind();
--- a/packages/anvilhinge/src/entry/routing/routing_view.ts
+++ b/packages/anvilhinge/src/entry/routing/routing_view.ts
@@ -87,6 +87,8 @@
   isOutdated(): boolean;
   /** Whether the hub's view contains an upstream; true unless it can't. */
   isKnownToHub(upstreamId: string): boolean;
+  /** Whether the hub's view contains upstreams or changes that this one lacks. */
+  isHubNewer(): boolean;
 }
 
 /**
@@ -365,6 +367,8 @@
     },
     isOutdated: () =>
       followedRouting.isOutdated() || followedUpstreams.isOutdated(),
+    isHubNewer: () =>
+      hubUpstreams !== undefined && followedUpstreams.isBehind(hubUpstreams),
     isKnownToHub(upstreamId) {
       const seen = firstSeen.get(upstreamId);
       // Versions of different eras don't show which view is newer.
--- a/packages/coordination/src/dispatch/work.ts
+++ b/packages/coordination/src/dispatch/work.ts
@@ -76,6 +76,8 @@
 export interface Grant {
   readonly key: string;
   readonly upstreamId: string;
+  /** Address as `host:port`, for an entry that does not know the upstream. */
+  readonly address?: string;
 }
 
 /** Refusal of a request that did not run and would not get a slot in time. */
--- a/packages/coordination/src/dispatch/work_client.ts
+++ b/packages/coordination/src/dispatch/work_client.ts
@@ -56,6 +56,8 @@
     readonly kind: "granted";
     readonly key: string;
     readonly upstreamId: string;
+    /** Address of the upstream in the hub's view. */
+    readonly address?: string;
     readonly by: "hub" | "share";
   }
   | {
@@ -333,9 +335,9 @@
         const { firstSequence = Infinity } = waiting;
         if (firstSequence <= decisions.sequence) waiting.isReceivedByHub = true;
       }
-      for (const { key, upstreamId } of listValidGrants(decisions)) {
-        if (!pending.delete(key)) continue;
-        events.push({ kind: "granted", key, upstreamId, by: "hub" });
+      for (const grant of listValidGrants(decisions)) {
+        if (!pending.delete(grant.key)) continue;
+        events.push({ kind: "granted", ...grant, by: "hub" });
       }
       if (decisions.denials.length > 0) updateUnknownToHub();
       for (const { key, retryAfterMs, cause } of decisions.denials) {
--- a/packages/coordination/src/dispatch/work_hub.ts
+++ b/packages/coordination/src/dispatch/work_hub.ts
@@ -436,7 +436,11 @@
       budget.take(upstream.id);
       entry.queued.delete(request.key);
       entry.pendingGrants.set(request.key, {
-        grant: { key: request.key, upstreamId: upstream.id },
+        grant: {
+          key: request.key,
+          upstreamId: upstream.id,
+          address: upstream.address,
+        },
         request,
         firstSequence: entry.state.sequence + 1,
         grantedAtMs: clock.now(),
