--- a/packages/anvilhinge/src/agent/ranks/rank_call_router.ts
+++ b/packages/anvilhinge/src/agent/ranks/rank_call_router.ts
@@ -120,7 +120,8 @@
     return new Promise((resolve) => {
       const engine = {
         async readReport() {
-          const answer = await calls.call(peer.address, { kind: "report" }, {
+          const read = { kind: "report", isDecisive: true } as const;
+          const answer = await calls.call(peer.address, read, {
             timeoutMs: agentAnswerTimeoutMs,
           });
           return answer?.kind === "report" ? answer.report : undefined;
--- a/packages/anvilhinge/src/agent/ranks/rank_rpc.ts
+++ b/packages/anvilhinge/src/agent/ranks/rank_rpc.ts
@@ -20,7 +20,11 @@
 
 /** A call from the leader to an agent. */
 export type RankCall =
-  | { readonly kind: "report" }
+  | {
+    readonly kind: "report";
+    /** See `ReadOptions` of the engine. */
+    readonly isDecisive?: boolean;
+  }
   | { readonly kind: "experts" }
   | OrderCall;
 
@@ -147,14 +151,15 @@
 ): Promise<RankAnswer> {
   switch (call.kind) {
     case "report": {
-      const report = await engine.readReport({ isDecisive: true });
+      const { isDecisive } = call;
+      const report = await engine.readReport({ isDecisive });
       return report === undefined
         ? { kind: "silent" }
         : { kind: "report", report };
     }
     case "experts": {
       const [report, experts] = await Promise.all([
-        engine.readReport({ isDecisive: true }),
+        engine.readReport(),
         engine.readExperts(),
       ]);
       return report === undefined || experts === undefined
--- a/packages/anvilhinge/src/agent/ranks/round_runner.ts
+++ b/packages/anvilhinge/src/agent/ranks/round_runner.ts
@@ -129,7 +129,9 @@
       }
 
       function getCall(effect: CallEffect): rankRpc.RankCall {
-        if (effect.kind === "read") return { kind: "report" };
+        if (effect.kind === "read") {
+          return { kind: "report", isDecisive: true };
+        }
         const { order } = effect;
         const call = orderCalls.get(order) ??
           { kind: "order" as const, order, epoch: status.epoch };
--- a/packages/anvilhinge/src/ports/rank_engine.ts
+++ b/packages/anvilhinge/src/ports/rank_engine.ts
@@ -43,7 +43,7 @@
 
 /**
  * Engine of one rank; a read without an answer resolves to undefined. The reply to
- * an order is never that to an earlier one.
+ * an order other than `prepare` is never that to an earlier one.
  */
 export interface RankEngine {
   readReport(options?: ReadOptions): Promise<RankReport | undefined>;
