--- a/packages/anvilhinge/src/entry/routing/followed_prefix.ts
+++ b/packages/anvilhinge/src/entry/routing/followed_prefix.ts
@@ -125,8 +125,13 @@
   let confirmedAtMs = -Infinity;
   /** Newest position of another entry's view since the last list. */
   let newestPosition: objectStore.StorePosition | undefined;
-  /** Time since which this view lacks what another contains. */
-  let behindSinceMs: number | undefined;
+  /**
+   * Position of another entry's view that this view has yet to reach, and the
+   * time since which. While changes come all the time, some view is always newer.
+   */
+  let awaited:
+    | { readonly position: objectStore.StorePosition; readonly sinceMs: number }
+    | undefined;
   /** Whether the prefix is being listed in place of a watch. */
   let isListing = false;
 
@@ -157,14 +162,21 @@
       (position.era === newestPosition.era &&
         position.version > newestPosition.version);
     if (isNewest) newestPosition = { ...position };
-    behindSinceMs ??= elapsed.now();
+    updateAwaited();
   }
 
-  /** Forgets the newest position once this view covers it. */
-  function updateBehind(): void {
-    if (newestPosition !== undefined && isBehind(newestPosition)) return;
-    newestPosition = undefined;
-    behindSinceMs = undefined;
+  /** Awaits the newest position once this view has reached the awaited one. */
+  function updateAwaited(): void {
+    if (awaited !== undefined && isBehind(awaited.position)) return;
+    awaited = newestPosition !== undefined && isBehind(newestPosition)
+      ? { position: newestPosition, sinceMs: elapsed.now() }
+      : undefined;
+  }
+
+  /** Returns how long this view has lacked a change that another contains. */
+  function getLagMs(): number {
+    updateAwaited();
+    return awaited === undefined ? 0 : elapsed.now() - awaited.sinceMs;
   }
 
   /** Starts the versions anew; those of another era aren't comparable. */
@@ -204,7 +216,7 @@
         isListing = false;
         // No view can be newer than the store's answer.
         newestPosition = undefined;
-        updateBehind();
+        awaited = undefined;
         options.onList(objects, era);
       },
       onObject(object) {
@@ -230,9 +242,7 @@
   function check(): void {
     const isRequestNeeded = options.isHub() ||
       getAgeMs() > hubConfirmedShare * maxAgeMs;
-    updateBehind();
-    const isWatchBehind = !isListing && behindSinceMs !== undefined &&
-      elapsed.now() - behindSinceMs > watchLagTimeoutMs;
+    const isWatchBehind = !isListing && getLagMs() > watchLagTimeoutMs;
     const wasRequesting = isRequestingConfirmations;
     isRequestingConfirmations = isRequestNeeded;
     if (isWatchBehind) follow();
@@ -263,10 +273,6 @@
     },
     isBehind,
     observePosition,
-    isOutdated() {
-      updateBehind();
-      return behindSinceMs !== undefined &&
-        elapsed.now() - behindSinceMs > outdatedAfterMs;
-    },
+    isOutdated: () => getLagMs() > outdatedAfterMs,
   };
 }
--- a/packages/anvilhinge/src/entry/routing/routing_view_test.ts
+++ b/packages/anvilhinge/src/entry/routing/routing_view_test.ts
@@ -327,6 +327,28 @@
     expect(view.isOutdated()).toBe(false);
   });
 
+  // Guards against a hub that gives up its role because others are always ahead.
+  test("a view that trails constant changes by less is not outdated", async () => {
+    const { fake, scheduler, view } = await createView({ isHub: true });
+    const listCalls = fake.countListCalls();
+    for (let change = 0; change < 30; change += 1) {
+      const value = change % 2 === 0 ? "serving" : "leaving";
+      const version = fake.put("servers/u2", value);
+      const status = view.readStatus();
+      const upstreams = { ...status.upstreams, version };
+      view.applyMemberStatus({ ...status, upstreams });
+      // The watch delivers the change only after others have seen the next one.
+      scheduler.schedule(() =>
+        fake.emit("servers/", {
+          kind: "changed",
+          object: { key: "servers/u2", value, version },
+        }), { delayMs: 150 });
+      await scheduler.advanceAsync(100);
+      expect(view.isOutdated()).toBe(false);
+    }
+    expect(fake.countListCalls()).toBe(listCalls);
+  });
+
   test("a status of an older view changes nothing", async () => {
     const { scheduler, view, newer } = await createBehind();
     const { upstreams } = newer;
