--- a/packages/coordination/src/dispatch/work_client.ts
+++ b/packages/coordination/src/dispatch/work_client.ts
@@ -118,11 +118,14 @@
   const maxWaitMs = options.maxWaitMs ?? defaultMaxWaitMs;
   const pending = new Map<string, PendingRequest>();
   const running = new Map<string, work.RunningRequest>();
+  /** Number of running requests by upstream; upstreams without any are absent. */
+  const runningCounts = new Map<string, number>();
   /** Gaps between stream events that no state has reported yet, by pool. */
   const gapsByPool = new Map<string, number[]>();
   /** Times of first parts that no state has reported yet, by pool. */
   const firstPartsByPool = new Map<string, number[]>();
   const limits = options.rateLimits ?? rateLimits.createRateLimits({ clock });
+  /** In the order of their ids. */
   let upstreams: readonly work.UpstreamSpec[] = [];
   /** Those of them that the hub can't assign. */
   let unknownToHub: readonly work.UpstreamSpec[] = [];
@@ -138,8 +141,23 @@
   }
 
   function countRunning(upstreamId: string): number {
-    return [...running.values()]
-      .filter((request) => request.upstreamId === upstreamId).length;
+    return runningCounts.get(upstreamId) ?? 0;
+  }
+
+  function removeRunning(key: string): void {
+    const request = running.get(key);
+    if (request === undefined) return;
+    running.delete(key);
+    const count = countRunning(request.upstreamId) - 1;
+    if (count === 0) runningCounts.delete(request.upstreamId);
+    else runningCounts.set(request.upstreamId, count);
+  }
+
+  function putRunning(request: work.RunningRequest): void {
+    removeRunning(request.key);
+    running.set(request.key, request);
+    const { upstreamId } = request;
+    runningCounts.set(upstreamId, countRunning(upstreamId) + 1);
   }
 
   /**
@@ -152,13 +170,12 @@
     const entryCount = Math.max(1, options.countEntries());
     const entryIndex = getEntryIndex();
     let firstSlot = 0;
-    return shared.toSorted((a, b) => a.id < b.id ? -1 : 1)
-      .filter(({ id, slots }) => {
-        const offset = (entryIndex - firstSlot % entryCount + entryCount) %
-          entryCount;
-        firstSlot += slots;
-        return countRunning(id) < Math.ceil((slots - offset) / entryCount);
-      });
+    return shared.filter(({ id, slots }) => {
+      const offset = (entryIndex - firstSlot % entryCount + entryCount) %
+        entryCount;
+      firstSlot += slots;
+      return countRunning(id) < Math.ceil((slots - offset) / entryCount);
+    });
   }
 
   /** Whether this entry has not used its share of the slots, at least one. */
@@ -216,7 +233,7 @@
     const { workspace, promptTokens } = request;
     const upstreamId = upstream.id;
     // Counted at once, so that later requests of this tick include it.
-    running.set(key, { key, upstreamId, workspace, promptTokens });
+    putRunning({ key, upstreamId, workspace, promptTokens });
     return { kind: "granted", key, upstreamId, by: "share" };
   }
 
@@ -271,7 +288,7 @@
 
   return {
     setUpstreams(newUpstreams) {
-      upstreams = newUpstreams;
+      upstreams = newUpstreams.toSorted((a, b) => a.id < b.id ? -1 : 1);
     },
     requestSlot(request) {
       pending.set(request.key, {
@@ -283,7 +300,7 @@
     },
     recordStart(request) {
       pending.delete(request.key);
-      running.set(request.key, request);
+      putRunning(request);
     },
     recordGap(pool, gapMs) {
       const gaps = gapsByPool.get(pool) ?? [];
@@ -297,7 +314,7 @@
     },
     drop(key) {
       pending.delete(key);
-      running.delete(key);
+      removeRunning(key);
     },
     buildState() {
       sequence += 1;
