--- a/packages/coordination/src/roster.ts
+++ b/packages/coordination/src/roster.ts
@@ -1,12 +1,12 @@
 /**
  * Liveness of the members of one system, which start with only a few seed
  * addresses. Of the members of the highest tier with the most capacity, the one
- * with the earliest start is the hub: the others report to it, and it sends the list of live
- * members to all of them. The number of
- * messages grows linearly with the number of members, not quadratically. No
- * consensus is needed: two hubs at a time only cost messages, and one of them
- * yields as soon as a message lists the other. Deterministic state
- * machine: it handles messages and ticks and returns messages to send.
+ * with the earliest start is the hub: the others report to it, and it sends the
+ * list of live members to all of them. The number of messages grows linearly with
+ * the number of members, not quadratically. No consensus is needed: two hubs at a
+ * time only cost messages, and one of them yields as soon as a message lists the
+ * other. Deterministic state machine: it handles messages and ticks and returns
+ * messages to send.
  *
  * The others know each other only through the hub, whose list of members replaces
  * theirs. They keep each other while the next hub takes over. Members that lost all
